--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Targets for users: demo, test. For contributors: lint, format, bench, bench-quick, dist.
+VENV ?= .venv
+PYTHON ?= python3
+BIN := $(VENV)/bin
+SOURCES := src standins bench demo testing
+export PYTHONPATH := src:.
+export PYTHONHASHSEED := 0
+
+.PHONY: demo test lint format bench bench-quick dist
+
+$(VENV)/.installed: requirements/dev.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements/dev.txt
+	touch $@
+
+demo: $(VENV)/.installed
+	$(BIN)/python -m demo
+
+test: $(VENV)/.installed
+	$(BIN)/python -m testing
+
+lint: $(VENV)/.installed
+	$(BIN)/black --quiet --check $(SOURCES)
+	$(BIN)/ruff check --quiet $(SOURCES)
+	$(BIN)/mypy
+
+format: $(VENV)/.installed
+	$(BIN)/black --quiet $(SOURCES)
+	$(BIN)/ruff check --quiet --fix $(SOURCES)
+
+bench: $(VENV)/.installed
+	$(BIN)/python -m bench
+
+bench-quick: $(VENV)/.installed
+	$(BIN)/python -m bench --quick
+
+dist: $(VENV)/.installed
+	$(BIN)/python -m shiv --quiet --no-deps --console-script kingcupusher --output-file dist/kingcupusher . 
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the product."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration of the whole path."""
--- /dev/null
+++ b/src/kingcupusher/_admin/__init__.py
@@ -0,0 +1,3 @@
+"""Administration HTTP interface."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/kingcupusher/_cli/__init__.py
@@ -0,0 +1,3 @@
+"""Command line."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/kingcupusher/_config/model.py
@@ -0,0 +1,71 @@
+"""Structures of a service file and of the configuration document."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+Name = Annotated[str, Meta(pattern=r"^[a-z][a-z0-9-]{0,62}$")]
+PositiveInt = Annotated[int, Meta(ge=1)]
+
+
+class Priority(Enum):
+    """Order in which services are shed when capacity is short; bulk goes first."""
+
+    INTERACTIVE = "interactive"
+    STANDARD = "standard"
+    BULK = "bulk"
+
+
+class TargetLimits(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """What one target of a service can bear, summed over all entries."""
+
+    slots: Annotated[int, Meta(ge=1, le=10_000)] = 3
+    connections: Annotated[int, Meta(ge=1, le=100_000)] = 200
+    cold_concurrency: Annotated[int, Meta(ge=1, le=10_000)] = 1
+    warmup_ms: Annotated[int, Meta(ge=0, le=3_600_000)] = 5_000
+    probes_per_s: Annotated[float, Meta(ge=0.0, le=100.0)] = 0.5
+
+
+class RequestPolicy(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """How requests of a service are queued, timed and retried."""
+
+    timeout_ms: Annotated[int, Meta(ge=1, le=3_600_000)] = 5_000
+    queue_length: Annotated[int, Meta(ge=0, le=100_000)] = 64
+    queue_bytes: Annotated[int, Meta(ge=0, le=1_000_000_000)] = 1_000_000
+    retry_percent: Annotated[float, Meta(ge=0.0, le=100.0)] = 10.0
+
+
+class RouteRule(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Requests, by method and path prefix, that must run at most once."""
+
+    method: Annotated[str, Meta(pattern=r"^[A-Z]+$")]
+    path: Annotated[str, Meta(pattern=r"^/")]
+
+
+class Service(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """One service as its operators describe it in a TOML file."""
+
+    name: Name
+    team: Name
+    hosts: Annotated[list[str], Meta(min_length=1)]
+    priority: Priority = Priority.STANDARD
+    target: TargetLimits = TargetLimits()
+    request: RequestPolicy = RequestPolicy()
+    non_idempotent: list[RouteRule] = []
+
+
+class ConfigDocument(Struct, frozen=True, kw_only=True):
+    """The configuration in force: one value under one key of the key-value service.
+
+    ``version`` only grows. ``publication_id`` identifies the write that made this version, so
+    that a publisher whose response was lost recognises its own write.
+    """
+
+    version: Annotated[int, Meta(ge=0)] = 0
+    publication_id: str = ""
+    max_entries: PositiveInt = 16
+    services: dict[str, Service] = {}
+    zones_out: list[str] = []
--- /dev/null
+++ b/src/kingcupusher/_entry/__init__.py
@@ -0,0 +1,3 @@
+"""Composition of the entry process."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/kingcupusher/_http/__init__.py
@@ -0,0 +1,3 @@
+"""HTTP/1.1 connections: h11 over curio sockets."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/kingcupusher/_http/exchange.py
@@ -0,0 +1,113 @@
+"""One whole HTTP exchange on a connection of its own, for control traffic."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import curio
+import h11
+from msgspec import Struct
+
+from kingcupusher._core import now_ms
+from kingcupusher._core.address import Address
+from kingcupusher._http.errors import ConnectError, DeadlineError, ExchangeError
+
+RECEIVE_BYTES = 65_536
+
+Headers = Sequence[tuple[bytes, bytes]]
+
+
+class Response(Struct, frozen=True):
+    """A whole response: status code, headers with lower-case names, and body."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+async def fetch(
+    address: Address,
+    method: str,
+    path: str,
+    *,
+    deadline_ms: float,
+    headers: Headers = (),
+    body: bytes = b"",
+) -> Response:
+    """Send one request and return its whole response.
+
+    ``deadline_ms`` is on the monotonic clock. Raises :class:`ConnectError` if nothing was sent,
+    :class:`DeadlineError` or :class:`ExchangeError` if the request may have taken effect.
+    """
+    sock = await _connect(address, deadline_ms)
+    try:
+        return await _exchange(sock, address, method, path, deadline_ms, headers, body)
+    finally:
+        await sock.close()
+
+
+def _remaining_s(deadline_ms: float) -> float:
+    return max(0.0, (deadline_ms - now_ms()) / 1000.0)
+
+
+async def _connect(address: Address, deadline_ms: float) -> curio.io.Socket:
+    try:
+        async with curio.timeout_after(_remaining_s(deadline_ms)):
+            return await curio.open_connection(address.host, address.port)
+    except curio.TaskTimeout:
+        raise ConnectError(f"connecting to {address} took longer than its deadline") from None
+    except OSError as error:
+        raise ConnectError(f"cannot connect to {address}: {error}") from error
+
+
+async def _exchange(
+    sock: curio.io.Socket,
+    address: Address,
+    method: str,
+    path: str,
+    deadline_ms: float,
+    headers: Headers,
+    body: bytes,
+) -> Response:
+    connection = h11.Connection(h11.CLIENT)
+    request = h11.Request(
+        method=method,
+        target=path,
+        headers=[
+            (b"host", str(address).encode()),
+            (b"content-length", str(len(body)).encode()),
+            (b"connection", b"close"),
+            *headers,
+        ],
+    )
+    data = connection.send(request) or b""
+    if body:
+        data += connection.send(h11.Data(data=body)) or b""
+    data += connection.send(h11.EndOfMessage()) or b""
+    try:
+        async with curio.timeout_after(_remaining_s(deadline_ms)):
+            await sock.sendall(data)
+            return await _receive(sock, connection)
+    except curio.TaskTimeout:
+        raise DeadlineError(f"{method} {path} at {address} passed its deadline") from None
+    except (OSError, h11.RemoteProtocolError) as error:
+        raise ExchangeError(f"{method} {path} at {address} failed: {error}") from error
+
+
+async def _receive(sock: curio.io.Socket, connection: h11.Connection) -> Response:
+    status = 0
+    headers: list[tuple[bytes, bytes]] = []
+    body = bytearray()
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await sock.recv(RECEIVE_BYTES))
+        elif isinstance(event, h11.Response):
+            status = event.status_code
+            headers = list(event.headers)
+        elif isinstance(event, h11.Data):
+            body += event.data
+        elif isinstance(event, h11.EndOfMessage):
+            return Response(status, headers, bytes(body))
+        elif isinstance(event, h11.ConnectionClosed):
+            raise h11.RemoteProtocolError("connection closed before the response")
--- /dev/null
+++ b/src/kingcupusher/_limits/__init__.py
@@ -0,0 +1,3 @@
+"""Limits: admission, retries, cold start, probes and connections."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/kingcupusher/_observe/__init__.py
@@ -0,0 +1,3 @@
+"""Logs, metrics and traces."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/kingcupusher/_peers/__init__.py
@@ -0,0 +1,3 @@
+"""Inner protocol between entries."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/kingcupusher/_platform/__init__.py
@@ -0,0 +1,3 @@
+"""Client of the platform: key-value service and VM list."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/kingcupusher/_proxy/__init__.py
@@ -0,0 +1,3 @@
+"""Request path of an entry."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/kingcupusher/_routing/__init__.py
@@ -0,0 +1,3 @@
+"""Choice of a target for a request."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/kingcupusher/_settings/__init__.py
@@ -0,0 +1,3 @@
+"""Settings from flags and environment variables."""
+
+from __future__ import annotations
