--- /dev/null
+++ b/src/kingcupusher/_routing/errors.py
@@ -0,0 +1,17 @@
+"""Errors of the choice of a target."""
+
+from __future__ import annotations
+
+from kingcupusher._core.errors import KingcupusherError
+
+
+class RoutingError(KingcupusherError):
+    """Base of the errors of this package."""
+
+
+class InvalidLoadReportError(RoutingError):
+    """Raised when a load report header cannot be parsed."""
+
+
+class UnknownTargetError(RoutingError):
+    """Raised when an event names a target that the router has never held."""
