Add checked settings, structured logs and the administration interface

All settings of the entry are checked together, so that an operator sees every wrong one at once; flags, variables and help come from one table. Typer's own parameter checks were ruled out because they stop at the first problem. Writes to the administration interface need a bearer token; with no token set they are refused. Not measured yet: nothing runs these modules before the entry process is composed.

--- a/src/kingcupusher/_admin/__init__.py
+++ b/src/kingcupusher/_admin/__init__.py
@@ -1,3 +1,8 @@
 """Administration HTTP interface."""
 
 from __future__ import annotations
+
+from kingcupusher._admin.api import AdminApi
+from kingcupusher._admin.status import EntryControl, StatusReport, TargetStatus, ZoneOrderResult
+
+__all__ = ["AdminApi", "EntryControl", "StatusReport", "TargetStatus", "ZoneOrderResult"]
--- /dev/null
+++ b/src/kingcupusher/_admin/status.py
@@ -0,0 +1,71 @@
+"""What the administration interface reports, and what it asks of the entry."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from msgspec import Struct
+
+
+class TargetStatus(Struct, frozen=True, kw_only=True):
+    """State of one target as this entry sees it, with the reason for a closed one."""
+
+    target_id: str
+    service: str
+    zone: str
+    state: str
+    reason: str
+    in_flight: int
+
+
+class StatusReport(Struct, frozen=True, kw_only=True):
+    """State of one entry."""
+
+    vm_id: str
+    zone: str
+    seat: int | None
+    ready: bool
+    draining: bool
+    config_version: int
+    config_age_ms: float
+    zones_out: list[str]
+    platform_reachable: bool
+    confirmed: bool
+    groups: list[int]
+    peers_heard: list[int]
+    peer_bytes_sent: int
+    peer_bytes_received: int
+    requests_in_flight: int
+    targets: list[TargetStatus]
+
+
+class ZoneOrderResult(Struct, frozen=True, kw_only=True):
+    """Result of a zone order; ``in_force`` is True only if the store holds it."""
+
+    in_force: bool
+    version: int
+    message: str
+
+
+class EntryControl(Protocol):
+    """Operations of the entry that the administration interface exposes."""
+
+    def status(self) -> StatusReport:
+        """Return the state of the entry."""
+        ...
+
+    def is_ready(self) -> bool:
+        """Return whether the platform's balancer should send callers here."""
+        ...
+
+    def start_drain(self) -> None:
+        """Begin a graceful shutdown."""
+        ...
+
+    async def order_zone(self, zone: str, *, out: bool) -> ZoneOrderResult:
+        """Take a zone out of service or bring it back."""
+        ...
+
+    def render_metrics(self) -> bytes:
+        """Return the metrics in Prometheus text format."""
+        ...
--- a/src/kingcupusher/_cli/main.py
+++ b/src/kingcupusher/_cli/main.py
@@ -5,6 +5,7 @@
 import typer
 
 from kingcupusher import __version__
+from kingcupusher._cli.entry import entry
 
 app = typer.Typer(name="kingcupusher", no_args_is_help=True, add_completion=False)
 
@@ -20,6 +21,9 @@
     typer.echo(__version__)
 
 
+app.command("entry")(entry)
+
+
 def main() -> None:
     """Run the command line."""
     app()
