Add the platform stand-in and its client

The control state of the fleet lives in a key-value service and a VM list that belong to the platform; tests and the demonstration need one that fails on demand.

The stand-in keeps its store free of I/O and clock, so that properties can use it as a fake. A rewind also returns the revision counter, as restoring a backup would; numbers are then used again. A watch therefore returns as soon as the last revision under its prefix differs from the known one, not only when it is higher, so that a rewound store wakes it.

The client tells "nothing took effect" (no connection, status 503) from "may have taken effect" (any other break of a write). A lease counts from before its call was sent.

Watches and leases are not yet covered by a test.

--- /dev/null
+++ b/src/kingcupusher/_platform/key_value.py
@@ -0,0 +1,124 @@
+"""Client of the key-value service."""
+
+from __future__ import annotations
+
+from urllib.parse import quote, urlencode
+
+from msgspec import Struct
+
+from kingcupusher._core import now_ms
+from kingcupusher._core.address import Address
+from kingcupusher._platform.calls import Caller
+from kingcupusher._platform.errors import NotFoundError
+from kingcupusher._platform.records import Lease, VersionedValue, WatchResult
+
+# The service answers in milliseconds; a call that takes this long is not going to be answered.
+CALL_TIMEOUT_MS = 1_500.0
+
+
+class _PutBody(Struct, frozen=True):
+    value: bytes
+    expected_revision: int
+    lease_id: str | None
+
+
+class _GrantBody(Struct, frozen=True):
+    ttl_ms: int
+
+
+class _Written(Struct, frozen=True):
+    revision: int
+
+
+class _Granted(Struct, frozen=True):
+    lease_id: str
+    ttl_ms: int
+
+
+class _Watched(Struct, frozen=True):
+    revision: int
+    changed: bool
+    entries: list[VersionedValue]
+
+
+class _Empty(Struct, frozen=True):
+    pass
+
+
+class KeyValueClient:
+    """Calls the key-value service at one address, one connection per call."""
+
+    __slots__ = ("_caller",)
+
+    def __init__(self, address: Address, *, timeout_ms: float = CALL_TIMEOUT_MS) -> None:
+        self._caller = Caller(address, timeout_ms)
+
+    async def get(self, key: str) -> VersionedValue | None:
+        """Return the value of ``key``, or None if the key does not exist."""
+        try:
+            return await self._caller.read(_key_path(key), VersionedValue)
+        except NotFoundError:
+            return None
+
+    async def list(self, prefix: str) -> list[VersionedValue]:
+        """Return the values whose keys start with ``prefix``, sorted by key."""
+        path = "/v1/keys?" + urlencode({"prefix": prefix})
+        return await self._caller.read(path, list[VersionedValue])
+
+    async def put(
+        self, key: str, value: bytes, *, expected_revision: int, lease_id: str | None = None
+    ) -> int:
+        """Write ``value`` if ``key`` has ``expected_revision`` (0: must not exist).
+
+        Returns the new revision. With ``lease_id`` the key disappears when that lease ends.
+        """
+        body = _PutBody(value, expected_revision, lease_id)
+        written = await self._caller.write("PUT", _key_path(key), body, _Written)
+        return written.revision
+
+    async def delete(self, key: str, *, expected_revision: int) -> None:
+        """Remove ``key`` if it has ``expected_revision``."""
+        path = f"{_key_path(key)}?" + urlencode({"expected_revision": expected_revision})
+        await self._caller.write("DELETE", path, None, _Written)
+
+    async def watch(self, prefix: str, *, after_revision: int, timeout_ms: float) -> WatchResult:
+        """Wait until the last revision under ``prefix`` differs from ``after_revision``.
+
+        Start with 0 and pass the revision of each result on to the next call. A rewound store
+        shows as a lower revision. After ``timeout_ms`` the result says that nothing changed.
+        """
+        query = {
+            "prefix": prefix,
+            "after_revision": after_revision,
+            "timeout_ms": round(timeout_ms),
+        }
+        path = "/v1/watch?" + urlencode(query)
+        seen = await self._caller.read(path, _Watched, extra_ms=timeout_ms)
+        return WatchResult(seen.revision, seen.changed, seen.entries)
+
+    async def grant_lease(self, ttl_ms: int) -> Lease:
+        """Create a lease that ends ``ttl_ms`` from now unless it is renewed."""
+        sent_ms = now_ms()
+        granted = await self._caller.write("POST", "/v1/leases", _GrantBody(ttl_ms), _Granted)
+        return Lease(granted.lease_id, sent_ms + granted.ttl_ms)
+
+    async def renew_lease(self, lease: Lease) -> Lease:
+        """Start the time to live of ``lease`` again; raise LeaseLostError if it has ended.
+
+        After any other error the lease still ends no earlier than its old deadline.
+        """
+        sent_ms = now_ms()
+        granted = await self._caller.write("PUT", _lease_path(lease), None, _Granted)
+        return Lease(granted.lease_id, sent_ms + granted.ttl_ms)
+
+    async def revoke_lease(self, lease: Lease) -> None:
+        """End ``lease`` and remove its keys."""
+        await self._caller.write("DELETE", _lease_path(lease), None, _Empty)
+
+
+def _key_path(key: str) -> str:
+    return f"/v1/keys/{quote(key)}"
+
+
+def _lease_path(lease: Lease) -> str:
+    return f"/v1/leases/{quote(lease.lease_id)}"
--- /dev/null
+++ b/standins/platform/control.py
@@ -0,0 +1,88 @@
+"""HTTP interface of the control port: faults, snapshots, VM list and call counts."""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from kingcupusher._core import now_ms
+from kingcupusher._http.exchange import Response
+from kingcupusher._http.service import Handler, Request
+from standins.platform.faults import Faults
+from standins.platform.routes import BadRequestError, Call, Routes, error_response, json_response
+from standins.platform.state import Platform
+from standins.platform.vms import Vm
+
+routes: Routes[Platform] = Routes()
+
+
+class SnapshotId(Struct, frozen=True):
+    """Number of a snapshot, counted from 0."""
+
+    snapshot: int
+
+
+class Counts(Struct, frozen=True):
+    """Calls since the start or the last reset."""
+
+    total: int
+    by_operation: dict[str, int]
+
+
+def control_handler(platform: Platform) -> Handler:
+    """Return the handler of the control port."""
+
+    async def handle(request: Request) -> Response:
+        match = routes.match(request)
+        if match is None:
+            return error_response(404, f"no route for {request.method} {request.path}")
+        try:
+            return await match.route(platform, match.call)
+        except BadRequestError as error:
+            return error_response(400, str(error))
+
+    return handle
+
+
+@routes.add("PUT", "/faults", "faults")
+async def _set_faults(platform: Platform, call: Call) -> Response:
+    platform.faults = call.json(Faults)
+    await platform.notify()
+    return json_response(platform.faults)
+
+
+@routes.add("GET", "/faults", "faults")
+async def _get_faults(platform: Platform, _call: Call) -> Response:
+    return json_response(platform.faults)
+
+
+@routes.add("POST", "/snapshots", "snapshot")
+async def _snapshot(platform: Platform, _call: Call) -> Response:
+    platform.snapshots.append(platform.store.snapshot())
+    return json_response(SnapshotId(len(platform.snapshots) - 1))
+
+
+@routes.add("POST", "/rewind", "rewind")
+async def _rewind(platform: Platform, call: Call) -> Response:
+    wanted = call.json(SnapshotId).snapshot
+    if not 0 <= wanted < len(platform.snapshots):
+        raise BadRequestError(f"no snapshot {wanted}; there are {len(platform.snapshots)}")
+    platform.store.rewind(platform.snapshots[wanted], now_ms=now_ms())
+    await platform.notify()
+    return json_response(SnapshotId(wanted))
+
+
+@routes.add("PUT", "/vms", "vms")
+async def _set_vms(platform: Platform, call: Call) -> Response:
+    platform.vms.set(call.json(list[Vm]), now_ms=now_ms())
+    return json_response({})
+
+
+@routes.add("GET", "/counts", "counts")
+async def _counts(platform: Platform, _call: Call) -> Response:
+    return json_response(Counts(platform.counts.total(), dict(platform.counts)))
+
+
+@routes.add("DELETE", "/counts", "counts")
+async def _reset_counts(platform: Platform, _call: Call) -> Response:
+    platform.counts.clear()
+    return json_response({})
