Add service files, publishing and the zone commands

Operators need to check and publish service files and to take zones out and in.

The document keeps a history of its last 64 publications. Reasons: a publisher whose response was lost must find its write even when another one has already built on it, which the single publication id of the newest version does not show; and after a rewind somebody may publish on the older base, so that comparing version numbers alone would drop accepted changes. `reconcile` combines such documents item by item, the later publication of an item winning.

Ruled out: refusing to publish while any entry reports a higher version (the member records are rewound as well), and per-item version stamps (versions of both lines overlap after a rewind).

--- /dev/null
+++ b/src/kingcupusher/_cli/check.py
@@ -0,0 +1,50 @@
+"""The command ``check``."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import typer
+from msgspec import Struct
+
+from kingcupusher._cli.exits import ExitCode, fail
+from kingcupusher._cli.options import FilesArgument, JsonOption
+from kingcupusher._cli.results import print_json
+from kingcupusher._config import Service, ServiceFilesError, load_service_files
+
+
+class CheckResult(Struct, frozen=True):
+    """What ``check --json`` prints."""
+
+    valid: bool
+    services: list[str]
+    problems: list[str]
+
+
+def load_or_fail(files: list[Path], *, as_json: bool) -> list[Service]:
+    """Return the services of ``files``; print every problem and end the command if any."""
+    try:
+        return load_service_files(files)
+    except ServiceFilesError as error:
+        if as_json:
+            print_json(CheckResult(False, [], [str(problem) for problem in error.problems]))
+        fail(
+            "\n".join(map(str, error.problems)),
+            fix="correct the named fields; nothing was published",
+            code=ExitCode.INVALID,
+        )
+
+
+def check(files: FilesArgument, as_json: JsonOption = False) -> None:
+    """Check service files without contacting the platform.
+
+    Example: kingcupusher check examples/lagos/*.toml
+
+    Exit codes: 0 all files are valid; 1 a file is not valid; 2 wrong usage.
+    """
+    services = load_or_fail(files, as_json=as_json)
+    names = [service.name for service in services]
+    if as_json:
+        print_json(CheckResult(True, names, []))
+    else:
+        typer.echo(f"{len(names)} valid: {', '.join(names)}")
--- /dev/null
+++ b/src/kingcupusher/_cli/exits.py
@@ -0,0 +1,46 @@
+"""Exit codes of the commands, and how a command ends with an error."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import NoReturn
+
+import typer
+
+from kingcupusher._config import Outcome
+
+
+class ExitCode(IntEnum):
+    """Documented exit codes."""
+
+    DONE = 0
+    INVALID = 1
+    USAGE = 2
+    RACED = 3
+    UNAVAILABLE = 4
+    UNKNOWN = 5
+    NEEDS_FORCE = 6
+
+
+EXIT_CODES_HELP = (
+    "Exit codes: 0 done or nothing to do; 1 a file is not valid or does not fit; 2 wrong usage; "
+    "3 somebody else changed the same item first, nothing was changed; 4 the platform is not "
+    "available, nothing was changed; 5 the change may or may not be in force; "
+    "6 --force is needed, nothing was changed."
+)
+
+EXIT_OF_OUTCOME: dict[Outcome, ExitCode] = {
+    Outcome.IN_FORCE: ExitCode.DONE,
+    Outcome.UNCHANGED: ExitCode.DONE,
+    Outcome.RACED: ExitCode.RACED,
+    Outcome.BUSY: ExitCode.RACED,
+    Outcome.UNAVAILABLE: ExitCode.UNAVAILABLE,
+    Outcome.UNKNOWN: ExitCode.UNKNOWN,
+}
+
+
+def fail(message: str, *, fix: str, code: ExitCode) -> NoReturn:
+    """Print an error with its fix on standard error and end the command."""
+    typer.echo(f"error: {message}", err=True)
+    typer.echo(f"fix: {fix}", err=True)
+    raise typer.Exit(code)
--- /dev/null
+++ b/src/kingcupusher/_cli/platform_calls.py
@@ -0,0 +1,34 @@
+"""Running of platform calls from a command, with their errors reported."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import curio
+
+from kingcupusher._cli.exits import ExitCode, fail
+from kingcupusher._config import ConfigError
+from kingcupusher._core.address import Address
+from kingcupusher._platform import PlatformError
+
+T = TypeVar("T")
+
+
+def run_call(call: Callable[..., Awaitable[T]], *arguments: Any, platform: Address) -> T:
+    """Run ``call(*arguments)`` and end the command if it fails."""
+    try:
+        result: T = curio.run(call, *arguments)
+    except PlatformError as error:
+        fail(
+            f"the platform at {platform} is not available, nothing was changed: {error}",
+            fix="check --platform and try again",
+            code=ExitCode.UNAVAILABLE,
+        )
+    except ConfigError as error:
+        fail(
+            f"{error}; nothing was changed",
+            fix="correct the named field and try again",
+            code=ExitCode.INVALID,
+        )
+    return result
--- a/src/kingcupusher/_config/__init__.py
+++ b/src/kingcupusher/_config/__init__.py
@@ -2,20 +2,61 @@
 
 from __future__ import annotations
 
+from kingcupusher._config.document import (
+    decode_document,
+    encode_document,
+    merge_services,
+    with_zone_order,
+)
+from kingcupusher._config.errors import (
+    ConfigError,
+    DocumentError,
+    FieldError,
+    MergeError,
+    ServiceFileError,
+    ServiceFilesError,
+)
+from kingcupusher._config.files import load_service_file, load_service_files
+from kingcupusher._config.follower import follow
 from kingcupusher._config.model import (
     ConfigDocument,
     Priority,
+    Publication,
     RequestPolicy,
     RouteRule,
     Service,
     TargetLimits,
 )
+from kingcupusher._config.publisher import Outcome, Publisher, PublishResult
+from kingcupusher._config.reconcile import Reconciled, newer_of, reconcile
+from kingcupusher._config.stored import CONFIG_KEY
 
 __all__ = [
+    "CONFIG_KEY",
     "ConfigDocument",
+    "ConfigError",
+    "DocumentError",
+    "FieldError",
+    "MergeError",
+    "Outcome",
     "Priority",
+    "Publication",
+    "PublishResult",
+    "Publisher",
+    "Reconciled",
     "RequestPolicy",
     "RouteRule",
     "Service",
+    "ServiceFileError",
+    "ServiceFilesError",
     "TargetLimits",
+    "decode_document",
+    "encode_document",
+    "follow",
+    "load_service_file",
+    "load_service_files",
+    "merge_services",
+    "newer_of",
+    "reconcile",
+    "with_zone_order",
 ]
--- /dev/null
+++ b/src/kingcupusher/_config/document.py
@@ -0,0 +1,106 @@
+"""Encoding of the configuration document and the changes that make its next version."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+from msgspec.structs import replace
+
+from kingcupusher._config.errors import DocumentError, MergeError
+from kingcupusher._config.model import ConfigDocument, Publication, Service
+from kingcupusher._config.rules import service_problem
+
+# Covers 40 minutes of publications at the design rate of 2,100 a day.
+HISTORY_LENGTH = 64
+
+SERVICE_ITEM = "service/"
+ZONE_ITEM = "zone/"
+
+
+def encode_document(document: ConfigDocument) -> bytes:
+    """Return ``document`` as stored under its key and sent between entries."""
+    return msgspec.json.encode(document)
+
+
+def decode_document(data: bytes) -> ConfigDocument:
+    """Return the document in ``data``; raise DocumentError if it cannot be read."""
+    try:
+        return msgspec.json.decode(data, type=ConfigDocument)
+    except msgspec.DecodeError as error:
+        raise DocumentError(f"the configuration document cannot be read: {error}") from error
+
+
+def merge_services(
+    document: ConfigDocument, services: Iterable[Service], *, publication_id: str, at_ms: int = 0
+) -> ConfigDocument:
+    """Return the next version of ``document`` with ``services`` added or replaced.
+
+    Returns ``document`` itself if nothing changes. Raises MergeError if a service belongs to
+    another team, uses a host of another service, or breaks a limit of the document.
+    """
+    wanted = {service.name: service for service in services}
+    changed = [name for name in wanted if document.services.get(name) != wanted[name]]
+    if not changed:
+        return document
+    after = replace(document, services={**document.services, **wanted})
+    for name in changed:
+        _check(wanted[name], before=document, after=after)
+    items = [SERVICE_ITEM + name for name in sorted(changed)]
+    return _next_version(after, items, publication_id, at_ms)
+
+
+def with_zone_order(
+    document: ConfigDocument, zone: str, *, out: bool, publication_id: str, at_ms: int = 0
+) -> ConfigDocument:
+    """Return the next version of ``document`` with ``zone`` out or in.
+
+    Returns ``document`` itself if nothing changes.
+    """
+    if (zone in document.zones_out) is out:
+        return document
+    others = [name for name in document.zones_out if name != zone]
+    after = replace(document, zones_out=sorted([*others, zone] if out else others))
+    return _next_version(after, [ZONE_ITEM + zone], publication_id, at_ms)
+
+
+def item_content(document: ConfigDocument, item: str) -> Service | bool | None:
+    """Return what ``document`` says about one item of a publication."""
+    if item.startswith(SERVICE_ITEM):
+        return document.services.get(item.removeprefix(SERVICE_ITEM))
+    return item.removeprefix(ZONE_ITEM) in document.zones_out
+
+
+def _check(service: Service, *, before: ConfigDocument, after: ConfigDocument) -> None:
+    in_result = replace(after, services={**after.services, **_previous(before, service.name)})
+    problem = service_problem(service, in_result)
+    if problem:
+        raise MergeError(
+            source=f"service {service.name}",
+            field=problem.field,
+            value=problem.value,
+            allowed=problem.allowed,
+        )
+
+
+def _previous(document: ConfigDocument, name: str) -> dict[str, Service]:
+    previous = document.services.get(name)
+    return {} if previous is None else {name: previous}
+
+
+def _next_version(
+    document: ConfigDocument, items: list[str], publication_id: str, at_ms: int
+) -> ConfigDocument:
+    before_ms = document.history[-1].at_ms if document.history else 0
+    publication = Publication(
+        version=document.version + 1,
+        publication_id=publication_id,
+        at_ms=max(at_ms, before_ms + 1),
+        items=items,
+    )
+    return replace(
+        document,
+        version=publication.version,
+        publication_id=publication_id,
+        history=[*document.history, publication][-HISTORY_LENGTH:],
+    )
--- a/src/kingcupusher/_config/model.py
+++ b/src/kingcupusher/_config/model.py
@@ -8,6 +8,7 @@
 from msgspec import Meta, Struct
 
 Name = Annotated[str, Meta(pattern=r"^[a-z][a-z0-9-]{0,62}$")]
+Host = Annotated[str, Meta(pattern=r"^[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?$")]
 PositiveInt = Annotated[int, Meta(ge=1)]
 
 
@@ -50,18 +51,33 @@
 
     name: Name
     team: Name
-    hosts: Annotated[list[str], Meta(min_length=1)]
+    hosts: Annotated[list[Host], Meta(min_length=1)]
     priority: Priority = Priority.STANDARD
     target: TargetLimits = TargetLimits()
     request: RequestPolicy = RequestPolicy()
     non_idempotent: list[RouteRule] = []
 
 
+class Publication(Struct, frozen=True, kw_only=True):
+    """One accepted change: the version that it made and the items that it set.
+
+    ``at_ms`` is wall-clock time, raised above that of the publication before. It only decides
+    between two publications of the same item that a rewind of the store made independent.
+    """
+
+    version: int
+    publication_id: str
+    at_ms: int = 0
+    items: list[str] = []
+
+
 class ConfigDocument(Struct, frozen=True, kw_only=True):
     """The configuration in force: one value under one key of the key-value service.
 
     ``version`` only grows. ``publication_id`` identifies the write that made this version, so
-    that a publisher whose response was lost recognises its own write.
+    that a publisher whose response was lost recognises its own write. ``history`` lists the last
+    publications, oldest first, so that the write is still recognised after later ones and a
+    document that lacks an accepted change is told from one that contains it.
     """
 
     version: Annotated[int, Meta(ge=0)] = 0
@@ -69,3 +85,4 @@
     max_entries: PositiveInt = 16
     services: dict[str, Service] = {}
     zones_out: list[str] = []
+    history: list[Publication] = []
--- /dev/null
+++ b/src/kingcupusher/_config/rules.py
@@ -0,0 +1,67 @@
+"""Rules for a service that a type cannot express."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from kingcupusher._config.model import ConfigDocument, Service
+from kingcupusher._config.problems import Problem
+
+Rule = Callable[[Service, ConfigDocument], Problem | None]
+
+RULES: list[Rule] = []
+
+
+def service_problem(service: Service, document: ConfigDocument) -> Problem | None:
+    """Return the first problem of ``service`` as a part of ``document``, or None."""
+    problems = (rule(service, document) for rule in RULES)
+    return next((problem for problem in problems if problem), None)
+
+
+def _rule(rule: Rule) -> Rule:
+    RULES.append(rule)
+    return rule
+
+
+@_rule
+def _hosts_are_distinct(service: Service, _document: ConfigDocument) -> Problem | None:
+    repeated = [host for host in service.hosts if service.hosts.count(host) > 1]
+    return Problem("hosts", repeated[0], "list each host once") if repeated else None
+
+
+@_rule
+def _each_entry_gets_a_connection(service: Service, document: ConfigDocument) -> Problem | None:
+    # An entry's share is connections // max_entries; with 0 it could never send.
+    connections = service.target.connections
+    if connections >= document.max_entries:
+        return None
+    allowed = f"use at least {document.max_entries}, one for each of max_entries"
+    return Problem("target.connections", connections, allowed)
+
+
+@_rule
+def _cold_limit_fits_slots(service: Service, _document: ConfigDocument) -> Problem | None:
+    limits = service.target
+    if limits.cold_concurrency <= limits.slots:
+        return None
+    allowed = f"use at most target.slots, which is {limits.slots}"
+    return Problem("target.cold_concurrency", limits.cold_concurrency, allowed)
+
+
+@_rule
+def _hosts_are_free(service: Service, document: ConfigDocument) -> Problem | None:
+    for other in document.services.values():
+        shared = set(service.hosts) & set(other.hosts)
+        if other.name != service.name and shared:
+            allowed = f"service {other.name} of team {other.team} already uses it"
+            return Problem("hosts", min(shared), allowed)
+    return None
+
+
+@_rule
+def _team_is_kept(service: Service, document: ConfigDocument) -> Problem | None:
+    before = document.services.get(service.name)
+    if before is None or before.team == service.team:
+        return None
+    allowed = f"service {service.name} belongs to team {before.team}; choose another name"
+    return Problem("team", service.team, allowed)
