--- a/src/kingcupusher/_cli/check.py
+++ b/src/kingcupusher/_cli/check.py
@@ -10,7 +10,7 @@
 from kingcupusher._cli.exits import ExitCode, fail
 from kingcupusher._cli.options import FilesArgument, JsonOption
 from kingcupusher._cli.results import print_json
-from kingcupusher._config import Service, ServiceFilesError, load_service_files
+from kingcupusher._config import ServiceFile, ServiceFilesError, load_service_files
 
 
 class CheckResult(Struct, frozen=True):
@@ -21,7 +21,7 @@
     problems: list[str]
 
 
-def load_or_fail(files: list[Path], *, as_json: bool) -> list[Service]:
+def load_or_fail(files: list[Path], *, as_json: bool) -> list[ServiceFile]:
     """Return the services of ``files``; print every problem and end the command if any."""
     try:
         return load_service_files(files)
@@ -42,8 +42,7 @@
 
     Exit codes: 0 all files are valid; 1 a file is not valid; 2 wrong usage.
     """
-    services = load_or_fail(files, as_json=as_json)
-    names = [service.name for service in services]
+    names = [file.service.name for file in load_or_fail(files, as_json=as_json)]
     if as_json:
         print_json(CheckResult(True, names, []))
     else:
--- a/src/kingcupusher/_cli/publish.py
+++ b/src/kingcupusher/_cli/publish.py
@@ -6,7 +6,8 @@
 from kingcupusher._cli.options import FilesArgument, JsonOption, PlatformOption
 from kingcupusher._cli.platform_calls import run_call
 from kingcupusher._cli.results import finish
-from kingcupusher._config import Publisher
+from kingcupusher._config import MergeError, Publisher, PublishResult, ServiceFile, ServiceFileError
+from kingcupusher._core.address import Address
 from kingcupusher._platform import KeyValueClient
 
 
@@ -17,7 +18,14 @@
 
     Example: kingcupusher publish --platform 10.0.0.5:2379 examples/lagos/*.toml
     """
-    services = load_or_fail(files, as_json=as_json)
+    loaded = load_or_fail(files, as_json=as_json)
+    finish(run_call(_publish, loaded, platform, platform=platform), as_json=as_json)
+
+
+async def _publish(files: list[ServiceFile], platform: Address) -> PublishResult:
     publisher = Publisher(KeyValueClient(platform))
-    result = run_call(publisher.publish, services, platform=platform)
-    finish(result, as_json=as_json)
+    try:
+        return await publisher.publish(file.service for file in files)
+    except MergeError as error:
+        path = next(file.path for file in files if file.service.name == error.service)
+        raise ServiceFileError(str(path), error.problem) from None
--- a/src/kingcupusher/_config/__init__.py
+++ b/src/kingcupusher/_config/__init__.py
@@ -13,10 +13,11 @@
     DocumentError,
     FieldError,
     MergeError,
+    Problem,
     ServiceFileError,
     ServiceFilesError,
 )
-from kingcupusher._config.files import load_service_file, load_service_files
+from kingcupusher._config.files import ServiceFile, load_service_file, load_service_files
 from kingcupusher._config.follower import follow
 from kingcupusher._config.model import (
     ConfigDocument,
@@ -40,6 +41,7 @@
     "MergeError",
     "Outcome",
     "Priority",
+    "Problem",
     "Publication",
     "PublishResult",
     "Publisher",
@@ -47,6 +49,7 @@
     "RequestPolicy",
     "RouteRule",
     "Service",
+    "ServiceFile",
     "ServiceFileError",
     "ServiceFilesError",
     "TargetLimits",
--- a/src/kingcupusher/_config/document.py
+++ b/src/kingcupusher/_config/document.py
@@ -28,7 +28,9 @@
     try:
         return msgspec.json.decode(data, type=ConfigDocument)
     except msgspec.DecodeError as error:
-        raise DocumentError(f"the configuration document cannot be read: {error}") from error
+        raise DocumentError(
+            f"the stored configuration cannot be read by this release: {error}"
+        ) from error
 
 
 def merge_services(
@@ -75,12 +77,7 @@
     in_result = replace(after, services={**after.services, **_previous(before, service.name)})
     problem = service_problem(service, in_result)
     if problem:
-        raise MergeError(
-            source=f"service {service.name}",
-            field=problem.field,
-            value=problem.value,
-            allowed=problem.allowed,
-        )
+        raise MergeError(service.name, problem)
 
 
 def _previous(document: ConfigDocument, name: str) -> dict[str, Service]:
--- a/src/kingcupusher/_config/errors.py
+++ b/src/kingcupusher/_config/errors.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from msgspec import Struct
+
 from kingcupusher._core import KingcupusherError
 
 
@@ -9,15 +11,24 @@
     """Base of the errors of service files and of the configuration document."""
 
 
+class Problem(Struct, frozen=True):
+    """What is wrong with one field: what was found there and what is allowed."""
+
+    field: str
+    found: str
+    allowed: str
+
+
 class FieldError(ConfigError):
-    """Raised when a field has a value that is not allowed."""
+    """Raised when a field has a value that is not allowed.
+
+    ``source`` is the file, or the service if the file is not known.
+    """
 
-    def __init__(self, *, source: str, field: str, value: object, allowed: str) -> None:
-        super().__init__(f"{source}: {field}: {value!r} is not allowed; {allowed}")
+    def __init__(self, source: str, problem: Problem) -> None:
+        super().__init__(f"{source}: {problem.field}: found {problem.found}; {problem.allowed}")
         self.source = source
-        self.field = field
-        self.value = value
-        self.allowed = allowed
+        self.problem = problem
 
 
 class ServiceFileError(FieldError):
@@ -35,6 +46,10 @@
 class MergeError(FieldError):
     """Raised when a valid service does not fit into the document in force."""
 
+    def __init__(self, service: str, problem: Problem) -> None:
+        super().__init__(f"service {service}", problem)
+        self.service = service
+
 
 class DocumentError(ConfigError):
     """Raised when the stored document cannot be read."""
--- a/src/kingcupusher/_config/files.py
+++ b/src/kingcupusher/_config/files.py
@@ -8,76 +8,68 @@
 from typing import Any
 
 import msgspec
+from msgspec import Struct
 
-from kingcupusher._config.errors import ServiceFileError, ServiceFilesError
+from kingcupusher._config.errors import Problem, ServiceFileError, ServiceFilesError
 from kingcupusher._config.model import ConfigDocument, Service
 from kingcupusher._config.problems import describe
 from kingcupusher._config.rules import service_problem
 
 
+class ServiceFile(Struct, frozen=True):
+    """A valid service with the file that describes it."""
+
+    path: Path
+    service: Service
+
+
 def load_service_file(path: Path) -> Service:
     """Return the service described in ``path``; raise ServiceFileError if it is not valid."""
     raw = _read(path)
     try:
         service = msgspec.convert(raw, Service)
     except msgspec.ValidationError as error:
-        problem = describe(error, raw)
-    else:
-        found = service_problem(service, ConfigDocument())
-        if found is None:
-            return service
-        problem = found
-    raise ServiceFileError(
-        source=str(path), field=problem.field, value=problem.value, allowed=problem.allowed
-    )
-
-
-def load_service_files(paths: Iterable[Path]) -> list[Service]:
+        raise ServiceFileError(str(path), describe(error, raw)) from None
+    problem = service_problem(service, ConfigDocument())
+    if problem:
+        raise ServiceFileError(str(path), problem)
+    return service
+
+
+def load_service_files(paths: Iterable[Path]) -> list[ServiceFile]:
     """Return the services of several files; raise ServiceFilesError with every problem found."""
-    services: dict[Path, Service] = {}
+    files: list[ServiceFile] = []
     problems: list[ServiceFileError] = []
     for path in dict.fromkeys(paths):
         try:
-            services[path] = load_service_file(path)
+            files.append(ServiceFile(path, load_service_file(path)))
         except ServiceFileError as error:
             problems.append(error)
-    problems += _duplicates(services)
+    problems += _duplicates(files)
     if problems:
         raise ServiceFilesError(problems)
-    return list(services.values())
+    return files
 
 
 def _read(path: Path) -> dict[str, Any]:
     try:
         return tomllib.loads(path.read_text(encoding="utf-8"))
     except OSError as error:
-        raise ServiceFileError(
-            source=str(path),
-            field="(file)",
-            value=error.strerror,
-            allowed="give the path of a readable TOML file",
-        ) from None
+        problem = Problem("(file)", str(error.strerror), "give the path of a readable TOML file")
     except ValueError as error:
-        raise ServiceFileError(
-            source=str(path), field="(syntax)", value=str(error), allowed="use valid TOML in UTF-8"
-        ) from None
+        problem = Problem("(syntax)", f"an error: {error}", "use valid TOML in UTF-8")
+    raise ServiceFileError(str(path), problem)
 
 
-def _duplicates(services: dict[Path, Service]) -> list[ServiceFileError]:
+def _duplicates(files: list[ServiceFile]) -> list[ServiceFileError]:
     owners: dict[tuple[str, str], Path] = {}
     problems = []
-    for path, service in services.items():
-        for field, value in _unique_values(service):
-            owner = owners.setdefault((field, value), path)
-            if owner != path:
-                problems.append(
-                    ServiceFileError(
-                        source=str(path),
-                        field=field,
-                        value=value,
-                        allowed=f"{owner} already uses it and it must be unique",
-                    )
-                )
+    for file in files:
+        for field, value in _unique_values(file.service):
+            owner = owners.setdefault((field, value), file.path)
+            if owner != file.path:
+                problem = Problem(field, repr(value), f"{owner} already uses it; choose another")
+                problems.append(ServiceFileError(str(file.path), problem))
     return problems
 
 
--- a/src/kingcupusher/_config/model.py
+++ b/src/kingcupusher/_config/model.py
@@ -1,4 +1,10 @@
-"""Structures of a service file and of the configuration document."""
+"""Structures of a service file and of the configuration document.
+
+Entries of two releases read the same document. A field at its default is not stored, so that an
+older release accepts a document that does not use a newer field; a default therefore never
+changes once it is released. A document with a field that this release does not know is refused
+as a whole, because writing it back would drop the field.
+"""
 
 from __future__ import annotations
 
@@ -7,8 +13,10 @@
 
 from msgspec import Meta, Struct
 
-Name = Annotated[str, Meta(pattern=r"^[a-z][a-z0-9-]{0,62}$")]
-Host = Annotated[str, Meta(pattern=r"^[a-z0-9]([a-z0-9.-]{0,251}[a-z0-9])?$")]
+# `\Z` and not `$`, which would accept a trailing line break.
+Name = Annotated[str, Meta(pattern=r"^[a-z][a-z0-9-]{0,62}\Z")]
+_LABEL = r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?"
+Host = Annotated[str, Meta(pattern=rf"^{_LABEL}(\.{_LABEL})*\Z", max_length=253)]
 PositiveInt = Annotated[int, Meta(ge=1)]
 
 
@@ -20,7 +28,9 @@
     BULK = "bulk"
 
 
-class TargetLimits(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+class TargetLimits(
+    Struct, frozen=True, kw_only=True, forbid_unknown_fields=True, omit_defaults=True
+):
     """What one target of a service can bear, summed over all entries."""
 
     slots: Annotated[int, Meta(ge=1, le=10_000)] = 3
@@ -30,7 +40,9 @@
     probes_per_s: Annotated[float, Meta(ge=0.0, le=100.0)] = 0.5
 
 
-class RequestPolicy(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+class RequestPolicy(
+    Struct, frozen=True, kw_only=True, forbid_unknown_fields=True, omit_defaults=True
+):
     """How requests of a service are queued, timed and retried."""
 
     timeout_ms: Annotated[int, Meta(ge=1, le=3_600_000)] = 5_000
@@ -39,14 +51,14 @@
     retry_percent: Annotated[float, Meta(ge=0.0, le=100.0)] = 10.0
 
 
-class RouteRule(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+class RouteRule(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True, omit_defaults=True):
     """Requests, by method and path prefix, that must run at most once."""
 
-    method: Annotated[str, Meta(pattern=r"^[A-Z]+$")]
-    path: Annotated[str, Meta(pattern=r"^/")]
+    method: Annotated[str, Meta(pattern=r"^[A-Z]+\Z")]
+    path: Annotated[str, Meta(pattern=r"^/[!-~]*\Z")]
 
 
-class Service(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+class Service(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True, omit_defaults=True):
     """One service as its operators describe it in a TOML file."""
 
     name: Name
@@ -58,7 +70,9 @@
     non_idempotent: list[RouteRule] = []
 
 
-class Publication(Struct, frozen=True, kw_only=True):
+class Publication(
+    Struct, frozen=True, kw_only=True, forbid_unknown_fields=True, omit_defaults=True
+):
     """One accepted change: the version that it made and the items that it set.
 
     ``at_ms`` is wall-clock time, raised above that of the publication before. It only decides
@@ -71,7 +85,9 @@
     items: list[str] = []
 
 
-class ConfigDocument(Struct, frozen=True, kw_only=True):
+class ConfigDocument(
+    Struct, frozen=True, kw_only=True, forbid_unknown_fields=True, omit_defaults=True
+):
     """The configuration in force: one value under one key of the key-value service.
 
     ``version`` only grows. ``publication_id`` identifies the write that made this version, so
--- a/src/kingcupusher/_config/problems.py
+++ b/src/kingcupusher/_config/problems.py
@@ -9,6 +9,7 @@
 import msgspec
 from msgspec import Struct
 
+from kingcupusher._config.errors import Problem
 from kingcupusher._config.model import Priority, RequestPolicy, RouteRule, Service, TargetLimits
 
 # The library gives the place only as text, for example "... - at `$.hosts[0]`".
@@ -32,14 +33,6 @@
 }
 
 
-class Problem(Struct, frozen=True):
-    """What is wrong with one field."""
-
-    field: str
-    value: object
-    allowed: str
-
-
 def describe(error: msgspec.ValidationError, raw: dict[str, Any]) -> Problem:
     """Return the problem that ``error`` reports about ``raw``."""
     found = PLACE.fullmatch(str(error))
@@ -50,7 +43,7 @@
     if named:
         return _field_set_problem(reason, named["field"], steps)
     field = _dotted(steps)
-    return Problem(field, _value_at(raw, steps), ALLOWED_BY_FIELD.get(field, reason.lower()))
+    return Problem(field, repr(_value_at(raw, steps)), ALLOWED_BY_FIELD.get(field, reason.lower()))
 
 
 def _field_set_problem(reason: str, name: str, steps: list[str]) -> Problem:
@@ -58,11 +51,11 @@
     table = _dotted(steps)
     field = f"{table}.{name}".removeprefix(".")
     if "missing" in reason:
-        return Problem(field, None, ALLOWED_BY_FIELD.get(field, "this field is required"))
+        return Problem(field, "nothing", ALLOWED_BY_FIELD.get(field, "this field is required"))
     known = list(TABLES[table].__struct_fields__)
     close = get_close_matches(name, known, 1)
     hint = f"did you mean {close[0]}? " if close else ""
-    return Problem(field, name, f"{hint}known fields are: {', '.join(known)}")
+    return Problem(field, "an unknown field", f"{hint}known fields are: {', '.join(known)}")
 
 
 def _dotted(steps: list[str]) -> str:
--- a/src/kingcupusher/_config/publisher.py
+++ b/src/kingcupusher/_config/publisher.py
@@ -30,7 +30,13 @@
 
 
 class Outcome(Enum):
-    """What a publisher can truly say about its change."""
+    """What a publisher can truly say about its change.
+
+    ``IN_FORCE``: the store accepted it. ``UNCHANGED``: the store says the same already.
+    ``RACED``, ``BUSY`` and ``UNAVAILABLE``: nothing was changed, because others changed the same
+    items, because others came first each time, or because the store did not respond.
+    ``UNKNOWN``: a write was sent and what became of it cannot be told.
+    """
 
     IN_FORCE = "in-force"
     UNCHANGED = "unchanged"
@@ -249,5 +255,9 @@
         return None
 
     def _ended(self, outcome: Outcome) -> Outcome:
-        """Return ``outcome``, or UNKNOWN if an earlier write may still have taken effect."""
+        """Return ``outcome``, or UNKNOWN if an earlier write may still have taken effect.
+
+        A store that was rewound after that write no longer shows it, while entries that saw it
+        keep it and write it back.
+        """
         return Outcome.UNKNOWN if self._unresolved else outcome
--- a/src/kingcupusher/_config/reconcile.py
+++ b/src/kingcupusher/_config/reconcile.py
@@ -66,6 +66,8 @@
     items = sorted({*times[0], *times[1]})
     kept = [item for item in items if times[0].get(item, _NEVER) > times[1].get(item, _NEVER)]
     services = _with_services(theirs, ours, kept)
+    latest = {item: max(times[0].get(item, _NEVER), times[1].get(item, _NEVER)) for item in items}
+    services = _without_shared_hosts(services, latest)
     zones_out = _with_zones(theirs, ours, kept)
     combined = replace(theirs, services=services, zones_out=zones_out)
     history = _joined_history(ours, theirs)
@@ -96,6 +98,23 @@
     return {**theirs.services, **{name: ours.services[name] for name in names}}
 
 
+def _without_shared_hosts(
+    services: dict[str, Service], times: dict[str, _Time]
+) -> dict[str, Service]:
+    """Give a host that two services claim to the one published later.
+
+    A service without any host left is dropped; it cannot receive a request.
+    """
+    owners: dict[str, str] = {}
+    for name in sorted(services, key=lambda name: times.get(SERVICE_ITEM + name, _NEVER)):
+        owners.update(dict.fromkeys(services[name].hosts, name))
+    kept = {
+        name: replace(service, hosts=[host for host in service.hosts if owners[host] == name])
+        for name, service in services.items()
+    }
+    return {name: service for name, service in kept.items() if service.hosts}
+
+
 def _with_zones(theirs: ConfigDocument, ours: ConfigDocument, items: list[str]) -> list[str]:
     zones = {i.removeprefix(ZONE_ITEM) for i in items if i.startswith(ZONE_ITEM)}
     return sorted((set(theirs.zones_out) - zones) | (set(ours.zones_out) & zones))
--- a/src/kingcupusher/_config/rules.py
+++ b/src/kingcupusher/_config/rules.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Callable
 
+from kingcupusher._config.errors import Problem
 from kingcupusher._config.model import ConfigDocument, Service
-from kingcupusher._config.problems import Problem
 
 Rule = Callable[[Service, ConfigDocument], Problem | None]
 
@@ -26,7 +26,7 @@
 @_rule
 def _hosts_are_distinct(service: Service, _document: ConfigDocument) -> Problem | None:
     repeated = [host for host in service.hosts if service.hosts.count(host) > 1]
-    return Problem("hosts", repeated[0], "list each host once") if repeated else None
+    return Problem("hosts", repr(repeated[0]), "list each host once") if repeated else None
 
 
 @_rule
@@ -36,7 +36,7 @@
     if connections >= document.max_entries:
         return None
     allowed = f"use at least {document.max_entries}, one for each of max_entries"
-    return Problem("target.connections", connections, allowed)
+    return Problem("target.connections", str(connections), allowed)
 
 
 @_rule
@@ -45,7 +45,7 @@
     if limits.cold_concurrency <= limits.slots:
         return None
     allowed = f"use at most target.slots, which is {limits.slots}"
-    return Problem("target.cold_concurrency", limits.cold_concurrency, allowed)
+    return Problem("target.cold_concurrency", str(limits.cold_concurrency), allowed)
 
 
 @_rule
@@ -54,7 +54,7 @@
         shared = set(service.hosts) & set(other.hosts)
         if other.name != service.name and shared:
             allowed = f"service {other.name} of team {other.team} already uses it"
-            return Problem("hosts", min(shared), allowed)
+            return Problem("hosts", repr(min(shared)), allowed)
     return None
 
 
@@ -64,4 +64,4 @@
     if before is None or before.team == service.team:
         return None
     allowed = f"service {service.name} belongs to team {before.team}; choose another name"
-    return Problem("team", service.team, allowed)
+    return Problem("team", repr(service.team), allowed)
