--- a/src/kingcupusher/_cli/entry.py
+++ b/src/kingcupusher/_cli/entry.py
@@ -6,7 +6,7 @@
 
 import typer
 
-from kingcupusher._cli.options import with_options
+from kingcupusher._cli.entry_options import with_options
 from kingcupusher._settings import ENTRY_FIELDS, SettingsError, parse_entry_settings
 
 EXIT_USAGE = 2
--- a/src/kingcupusher/_cli/options.py
+++ b/src/kingcupusher/_cli/options.py
@@ -1,47 +1,34 @@
-"""Typer options generated from the settings table, so that flags and docs cannot diverge."""
+"""Options that several commands share."""
 
 from __future__ import annotations
 
-import inspect
-from collections.abc import Callable, Sequence
-from typing import Annotated, Any
+from pathlib import Path
+from typing import Annotated
 
 import typer
 
-from kingcupusher._settings import Field
-
-Command = Callable[..., None]
-
-
-def _parameter(field: Field) -> inspect.Parameter:
-    default = "" if field.default is None else f" Default: {field.default or 'empty'}."
-    option = typer.Option(
-        field.flag,
-        envvar=field.variable,
-        help=f"{field.help} Allowed: {field.allowed}.{default}",
-        show_default=False,
-    )
-    return inspect.Parameter(
-        field.name,
-        inspect.Parameter.KEYWORD_ONLY,
-        default=None,
-        annotation=Annotated[str | None, option],
-    )
-
-
-def with_options(fields: Sequence[Field]) -> Callable[[Command], Command]:
-    """Return a decorator that gives a command one option for each field, passed as raw text."""
-
-    def decorate(command: Command) -> Command:
-        parameters = [_parameter(field) for field in fields]
-
-        def wrapper(**raw: Any) -> None:
-            command(**raw)
-
-        wrapper.__name__ = command.__name__
-        wrapper.__doc__ = command.__doc__
-        wrapper.__signature__ = inspect.Signature(parameters)  # type: ignore[attr-defined]
-        wrapper.__annotations__ = {p.name: p.annotation for p in parameters}
-        return wrapper
-
-    return decorate
+from kingcupusher._core.address import Address, AddressError
+
+
+def _address(text: str) -> Address:
+    try:
+        return Address.parse(text)
+    except AddressError as error:
+        raise typer.BadParameter(str(error)) from None
+
+
+PlatformOption = Annotated[
+    Address,
+    typer.Option(
+        "--platform",
+        envvar="KINGCUPUSHER_PLATFORM",
+        metavar="IP:PORT",
+        parser=_address,
+        help="Address of the platform's key-value service.",
+    ),
+]
+JsonOption = Annotated[bool, typer.Option("--json", help="Print the result as one JSON object.")]
+FilesArgument = Annotated[
+    list[Path], typer.Argument(metavar="FILE...", help="TOML service files, one service each.")
+]
+ZoneArgument = Annotated[str, typer.Argument(metavar="ZONE", help="Name of the zone.")]
