Add the request path

Cause: an entry needs to take requests from callers and pass them to targets.

Weighed: one reader task per caller connection against waiting on the caller's socket in the handling task. Only the former notices a caller that closes while its request is with a target. A response whose end cannot be recognised (no length, not chunked) is refused as unknown, since a cut one could pass for complete.

--- /dev/null
+++ b/src/kingcupusher/_http/client_connection.py
@@ -0,0 +1,118 @@
+"""Client side of one HTTP/1.1 connection."""
+
+from __future__ import annotations
+
+import socket
+from typing import Any
+
+import curio
+import h11
+
+from kingcupusher._core import now_ms
+from kingcupusher._core.address import Address
+from kingcupusher._http.errors import ConnectError, ExchangeError, ResetError
+
+READ_BYTES = 65_536
+END = h11.EndOfMessage()
+
+
+class ClientConnection:
+    """One connection to a target; owned by the task that acquired it."""
+
+    __slots__ = ("_http", "_method", "_sock", "address", "idle_since_ms", "is_aborted")
+
+    def __init__(self, sock: curio.io.Socket, address: Address) -> None:
+        self._sock = sock
+        self._http = h11.Connection(h11.CLIENT)
+        self._method = b""
+        self.address = address
+        self.idle_since_ms = now_ms()
+        self.is_aborted = False
+
+    @classmethod
+    async def open(cls, address: Address, *, deadline_ms: float) -> ClientConnection:
+        """Connect to ``address``; raise :class:`ConnectError` if that fails in time."""
+        family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+        sock = curio.io.Socket(socket.socket(family, socket.SOCK_STREAM))
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            async with curio.timeout_after(max(0.0, (deadline_ms - now_ms()) / 1000.0)):
+                await sock.connect((address.host, address.port))
+        except curio.TaskTimeout:
+            await sock.close()
+            raise ConnectError(f"connecting to {address} took longer than its deadline") from None
+        except OSError as error:
+            await sock.close()
+            raise ConnectError(f"cannot connect to {address}: {error}") from error
+        except BaseException:
+            await sock.close()
+            raise
+        return cls(sock, address)
+
+    @property
+    def method(self) -> bytes:
+        """Method of the request in flight."""
+        return self._method
+
+    def encode(self, event: h11.Event) -> bytes:
+        """Return the bytes of one request event."""
+        if type(event) is h11.Request:
+            self._method = event.method
+        return self._http.send(event) or b""
+
+    async def send(self, data: bytes) -> None:
+        """Write ``data``; the first bytes leave before this call gives up control."""
+        try:
+            await self._sock.sendall(data)
+        except OSError as error:
+            raise ResetError(f"{self.address} closed the connection: {error}") from error
+
+    def next_event(self) -> Any:
+        """Return the next response event or ``h11.NEED_DATA``."""
+        try:
+            event = self._http.next_event()
+        except h11.RemoteProtocolError as error:
+            kind = ResetError if self._http.trailing_data[1] else ExchangeError
+            raise kind(f"response of {self.address} is not valid: {error}") from None
+        if type(event) is h11.ConnectionClosed:
+            raise ResetError(f"{self.address} closed the connection before its response")
+        return event
+
+    async def fill(self) -> None:
+        """Wait for more bytes of the response."""
+        try:
+            self._http.receive_data(await self._sock.recv(READ_BYTES))
+        except OSError as error:
+            raise ResetError(f"{self.address} reset the connection: {error}") from error
+
+    def is_complete(self) -> bool:
+        """Whether the exchange ended cleanly, so that another may follow."""
+        http = self._http
+        ended = http.our_state is h11.DONE and http.their_state is h11.DONE
+        return ended and not http.trailing_data[0] and not self.is_aborted
+
+    def start_next(self) -> None:
+        """Prepare for the next request."""
+        self._http.start_next_cycle()
+
+    def is_quiet(self) -> bool:
+        """Whether the peer has neither closed nor sent bytes that nobody asked for."""
+        try:
+            self._sock._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def abort(self) -> None:
+        """Shut the socket down; a task that waits on it wakes up with an error."""
+        self.is_aborted = True
+        try:
+            self._sock._socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
+
+    async def close(self) -> None:
+        """Close the socket."""
+        await self._sock.close()
--- /dev/null
+++ b/src/kingcupusher/_proxy/attempt.py
@@ -0,0 +1,262 @@
+"""One attempt: a request is given to one target and its response is passed back."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import curio
+import h11
+from msgspec import Struct
+
+from kingcupusher._core import KingcupusherError, now_ms
+from kingcupusher._http.client_connection import ClientConnection
+from kingcupusher._http.errors import (
+    BadRequestError,
+    CallerGoneError,
+    ConnectError,
+    ExchangeError,
+    PoolLimitError,
+    ResetError,
+)
+from kingcupusher._http.framing import response_fault
+from kingcupusher._http.pool import ConnectionPool
+from kingcupusher._http.server_connection import ServerConnection
+from kingcupusher._proxy.body import RequestBody
+from kingcupusher._proxy.classify import ProxyRequest
+from kingcupusher._proxy.directory import (
+    AbandonedEvent,
+    Directory,
+    FailureEvent,
+    NotSentEvent,
+    RefusalEvent,
+    ResetEvent,
+    ResponseEvent,
+    TargetEvent,
+)
+from kingcupusher._proxy.errors import NotSentError, RefusedError
+from kingcupusher._proxy.headers import request_headers, response_headers
+from kingcupusher._proxy.load_report import LoadReport, parse_load_report
+
+# A target that accepts no connection within this time is not waited for; another is tried.
+CONNECT_TIMEOUT_MS = 1_000.0
+END = h11.EndOfMessage()
+NOT_RUN = (b"x-outcome", b"not-run")
+MIN_FORWARDED_INFORMATION = 102
+
+
+class Place(Struct, kw_only=True):
+    """Where an attempt goes: a target, or another entry when ``target_id`` is ``None``."""
+
+    target_id: str | None
+    pool: ConnectionPool
+
+
+class Attempt:
+    """One attempt. After :meth:`run`, its flags say how far it came."""
+
+    __slots__ = (
+        "_body",
+        "_caller",
+        "_directory",
+        "_load",
+        "_place",
+        "_request",
+        "_sender",
+        "_started_ms",
+        "_status",
+        "is_head_forwarded",
+        "is_written",
+        "stream_error",
+    )
+
+    def __init__(
+        self,
+        place: Place,
+        request: ProxyRequest,
+        body: RequestBody,
+        *,
+        caller: ServerConnection,
+        directory: Directory,
+    ) -> None:
+        self._place = place
+        self._request = request
+        self._body = body
+        self._caller = caller
+        self._directory = directory
+        self._started_ms = now_ms()
+        self._load: LoadReport | None = None
+        self._status = 0
+        self._sender: curio.Task | None = None
+        self.stream_error: KingcupusherError | None = None
+        self.is_written = False
+        self.is_head_forwarded = False
+
+    async def run(self) -> None:
+        """Send the request and pass the response back.
+
+        Raises :class:`NotSentError` or :class:`ConnectError` if nothing was written,
+        :class:`RefusedError` if the target said so, :class:`ExchangeError` if the outcome is not
+        known, and :class:`CallerGoneError`.
+        """
+        event: type[TargetEvent] = FailureEvent
+        try:
+            connection = await self._acquire()
+            is_complete = False
+            try:
+                await self._exchange(connection)
+                is_complete = True
+            finally:
+                self._caller.on_gone = None
+                if self._sender is not None:
+                    await self._sender.cancel()
+                await self._place.pool.release(connection, reusable=is_complete)
+            event = ResponseEvent
+        except (PoolLimitError, NotSentError):
+            event = NotSentEvent
+            raise
+        except RefusedError:
+            event = RefusalEvent
+            raise
+        except CallerGoneError:
+            event = AbandonedEvent
+            raise
+        except ResetError as error:
+            if self._caller.is_gone:
+                event = AbandonedEvent
+                raise CallerGoneError("the caller closed before the response") from error
+            event = ResetEvent
+            raise
+        except ConnectError:
+            event = ResetEvent
+            raise
+        finally:
+            self._report(event)
+
+    def _report(self, kind: type[TargetEvent]) -> None:
+        target_id = self._place.target_id
+        if target_id is None:
+            return
+        current_ms = now_ms()
+        extra: dict[str, Any] = {"status": self._status} if kind is ResponseEvent else {}
+        event = kind(
+            service=self._request.service.name,
+            target_id=target_id,
+            at_ms=current_ms,
+            elapsed_ms=current_ms - self._started_ms,
+            load=self._load,
+            **extra,
+        )
+        self._directory.report(event)
+
+    async def _acquire(self) -> ClientConnection:
+        deadline_ms = min(self._request.deadline_ms, now_ms() + CONNECT_TIMEOUT_MS)
+        return await self._place.pool.acquire(
+            fresh=not self._request.is_idempotent, deadline_ms=deadline_ms
+        )
+
+    async def _exchange(self, connection: ClientConnection) -> None:
+        data = self._encode_request(connection)
+        self._check_before_write()
+
+        async def cancel() -> None:
+            connection.abort()
+
+        self._caller.on_gone = cancel
+        self.is_written = True
+        await connection.send(data)
+        if not self._body.is_whole:
+            self._sender = await curio.spawn(self._send_rest, connection)
+        head = await self._response_head(connection)
+        await self._relay(connection, head)
+
+    def _encode_request(self, connection: ClientConnection) -> bytes:
+        request = self._request
+        remaining_ms = max(0, int(request.deadline_ms - now_ms()))
+        head = h11.Request(
+            method=request.head.method,
+            target=request.head.target,
+            headers=request_headers(
+                request, remaining_ms=remaining_ms, handoff=self._place.target_id is None
+            ),
+        )
+        data = connection.encode(head)
+        if self._body.kept:
+            data += connection.encode(h11.Data(data=self._body.kept))
+        if self._body.is_whole:
+            data += connection.encode(END)
+        return data
+
+    def _check_before_write(self) -> None:
+        """Check what may have changed while a connection was opened or the process was paused."""
+        current_ms = now_ms()
+        if self._caller.is_gone:
+            raise CallerGoneError("the caller closed before its request was sent")
+        if current_ms >= self._request.deadline_ms:
+            raise NotSentError("the deadline passed before the request was sent")
+        target_id = self._place.target_id
+        if target_id is not None and not self._directory.may_send(target_id, now_ms=current_ms):
+            raise NotSentError(f"the right to send to {target_id} ended")
+
+    async def _send_rest(self, connection: ClientConnection) -> None:
+        try:
+            while (piece := await self._caller.next_body()) is not None:
+                await connection.send(connection.encode(h11.Data(data=piece)))
+            await connection.send(connection.encode(END))
+        except BadRequestError as error:
+            self.stream_error = error
+            connection.abort()
+        except CallerGoneError:
+            connection.abort()
+        except ResetError:
+            # The target may have responded before it closed; the response is read first.
+            return
+
+    async def _response_head(self, connection: ClientConnection) -> h11.Response:
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                await connection.fill()
+            elif type(event) is h11.Response:
+                self._check_response(event)
+                return event
+            elif event.status_code >= MIN_FORWARDED_INFORMATION:
+                await self._caller.send_information(event)
+
+    def _check_response(self, head: h11.Response) -> None:
+        self._status = head.status_code
+        for name, value in head.headers:
+            if name == b"x-target-load":
+                self._load = parse_load_report(value)
+        if NOT_RUN in head.headers:
+            raise RefusedError(f"{self._place.pool.address} did not run the request")
+        fault = response_fault(head, self._request.head.method)
+        if fault is not None:
+            raise ExchangeError(f"response of {self._place.pool.address} is not valid: {fault}")
+
+    async def _relay(self, connection: ClientConnection, head: h11.Response) -> None:
+        """Pass the response on; each batch of received bytes becomes one write."""
+        batch: list[Any] = [head]
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                await self._forward(batch)
+                batch = []
+                await connection.fill()
+                continue
+            batch.append(event)
+            if type(event) is h11.EndOfMessage:
+                break
+        await self._forward(batch)
+
+    async def _forward(self, events: list[Any]) -> None:
+        if not events:
+            return
+        data = b"".join([self._encode_response(event) for event in events])
+        self.is_head_forwarded = True
+        await self._caller.send(data)
+
+    def _encode_response(self, event: Any) -> bytes:
+        if type(event) is h11.Response:
+            headers = response_headers(list(event.headers))
+            return self._caller.encode_head(event.status_code, headers, event.reason)
+        return self._caller.encode(event)
--- /dev/null
+++ b/src/kingcupusher/_proxy/classify.py
@@ -0,0 +1,99 @@
+"""Decides from a request head which service it is for and how it may be handled."""
+
+from __future__ import annotations
+
+import itertools
+import os
+import posixpath
+from urllib.parse import unquote
+
+import h11
+from msgspec import Struct
+
+from kingcupusher._config import Service
+from kingcupusher._proxy.directory import Directory
+from kingcupusher._proxy.errors import RejectedError
+
+# Ten digits are about 115 days; a longer number is an error of the caller.
+MAX_TIMEOUT_DIGITS = 10
+
+_request_ids = itertools.count()
+_process_part = os.urandom(8).hex()
+
+
+def _new_request_id() -> bytes:
+    """Return an identifier that no other entry gives."""
+    return f"{_process_part}-{next(_request_ids):x}".encode()
+
+
+class ProxyRequest(Struct, kw_only=True):
+    """A request head with what was decided about it."""
+
+    head: h11.Request
+    request_id: bytes
+    service: Service
+    is_idempotent: bool
+    is_handed_off: bool
+    deadline_ms: float
+
+
+def classify(head: h11.Request, directory: Directory, *, received_ms: float) -> ProxyRequest:
+    """Classify ``head``, whose first byte came at ``received_ms`` or later.
+
+    Raises :class:`RejectedError` if no service answers for it or a header is not valid.
+    """
+    headers = dict(head.headers)
+    host = _host_name(headers.get(b"host", b""))
+    service = directory.service_for(host)
+    if service is None:
+        raise RejectedError(404, f"no service answers for host {host.decode('latin-1')!r}")
+    return ProxyRequest(
+        head=head,
+        service=service,
+        is_idempotent=_is_idempotent(head, headers, service),
+        request_id=headers.get(b"x-request-id") or _new_request_id(),
+        is_handed_off=headers.get(b"x-handoff") == b"1",
+        deadline_ms=received_ms + _timeout_ms(headers, service),
+    )
+
+
+def _host_name(value: bytes) -> bytes:
+    """Return the value of a ``Host`` header in lower case and without its port."""
+    name, separator, port = value.lower().rpartition(b":")
+    return name if separator and port.isdigit() else value.lower()
+
+
+def _timeout_ms(headers: dict[bytes, bytes], service: Service) -> int:
+    value = headers.get(b"x-request-timeout-ms")
+    if value is None:
+        return service.request.timeout_ms
+    if not value.isdigit() or len(value) > MAX_TIMEOUT_DIGITS:
+        raise RejectedError(400, "X-Request-Timeout-Ms must be a whole number of milliseconds")
+    return min(int(value), service.request.timeout_ms)
+
+
+def _is_idempotent(head: h11.Request, headers: dict[bytes, bytes], service: Service) -> bool:
+    if b"x-idempotent" in headers and _says_not_idempotent(head):
+        return False
+    if not service.non_idempotent:
+        return True
+    paths = _spellings(head.target)
+    method = head.method.decode("ascii")
+    return not any(
+        rule.method == method and any(path.startswith(rule.path) for path in paths)
+        for rule in service.non_idempotent
+    )
+
+
+def _says_not_idempotent(head: h11.Request) -> bool:
+    """Return whether any of the ``X-Idempotent`` headers is ``false``."""
+    return any(
+        name == b"x-idempotent" and value.lower() == b"false" for name, value in head.headers
+    )
+
+
+def _spellings(target: bytes) -> tuple[str, str]:
+    """Return the path as sent and as a target may read it (decoded, without dot segments)."""
+    path = target.decode("latin-1").partition("?")[0]
+    plain = posixpath.normpath(unquote(path))
+    return path, "/" + plain.lstrip("/")
--- /dev/null
+++ b/src/kingcupusher/_proxy/exchange.py
@@ -0,0 +1,179 @@
+"""The life of one caller request over one or more attempts."""
+
+from __future__ import annotations
+
+import curio
+
+from kingcupusher._core import now_ms
+from kingcupusher._http.errors import (
+    ConnectError,
+    ExchangeError,
+    PoolLimitError,
+)
+from kingcupusher._http.pool import ConnectionPool
+from kingcupusher._http.server_connection import ServerConnection
+from kingcupusher._proxy.attempt import Attempt, Place
+from kingcupusher._proxy.body import RequestBody, read_body
+from kingcupusher._proxy.classify import ProxyRequest
+from kingcupusher._proxy.directory import Directory
+from kingcupusher._proxy.errors import NotSentError, RefusedError
+from kingcupusher._proxy.outcome import (
+    NO_RESPONSE,
+    NO_TARGET,
+    QUEUE_FULL,
+    TIMED_OUT,
+    TIMED_OUT_BEFORE_SEND,
+    Outcome,
+    OutcomeResponse,
+    respond,
+)
+from kingcupusher._proxy.waiting import WaitingRoom
+
+# Bounds the connections that one request may try to open while targets are down.
+MAX_ATTEMPTS = 4
+
+
+class Exchange:
+    """One caller request from its head to its response."""
+
+    __slots__ = (
+        "_attempt",
+        "_attempts",
+        "_body",
+        "_caller",
+        "_directory",
+        "_is_handoff_tried",
+        "_may_have_run",
+        "_may_retry_freely",
+        "_request",
+        "_tried",
+        "_waiting",
+    )
+
+    def __init__(
+        self,
+        request: ProxyRequest,
+        *,
+        caller: ServerConnection,
+        directory: Directory,
+        waiting: WaitingRoom,
+    ) -> None:
+        self._request = request
+        self._caller = caller
+        self._directory = directory
+        self._waiting = waiting
+        self._body = RequestBody(b"", True)
+        self._attempt: Attempt | None = None
+        self._attempts = 0
+        self._is_handoff_tried = False
+        self._may_have_run = False
+        self._may_retry_freely = True
+        self._tried: set[str] = set()
+
+    async def run(self) -> None:
+        """Serve the request; the caller gets one response or a broken connection."""
+        remaining_s = max(0.0, (self._request.deadline_ms - now_ms()) / 1000.0)
+        try:
+            async with curio.timeout_after(remaining_s):
+                failure = await self._forward()
+        except curio.TaskTimeout:
+            failure = self._timed_out()
+        finally:
+            await self._waiting.pump(self._request.service)
+        if self._is_head_forwarded():
+            if failure is not None:
+                self._caller.reset_on_close()
+        elif failure is not None:
+            await respond(self._caller, failure)
+
+    async def _forward(self) -> OutcomeResponse | None:
+        self._body = await read_body(self._caller)
+        budget = self._directory.retry_budget(self._request.service)
+        budget.on_request(now_ms=now_ms())
+        failure: OutcomeResponse | None = QUEUE_FULL
+        while (place := await self._next_place()) is not None:
+            failure = await self._try(place)
+            if failure is None or not self._may_try_again():
+                return failure
+        return failure
+
+    async def _next_place(self) -> Place | None:
+        target_id = self._choose()
+        if target_id is not None:
+            return self._place(target_id)
+        entry = self._other_entry()
+        if entry is not None:
+            return Place(target_id=None, pool=entry)
+        if self._tried:
+            return None
+        target_id = await self._waiting.wait(
+            self._request, caller=self._caller, size_bytes=len(self._body.kept)
+        )
+        return None if target_id is None else self._place(target_id)
+
+    def _choose(self) -> str | None:
+        service = self._request.service
+        if not self._tried and self._waiting.has_waiters(service):
+            return None
+        return self._directory.choose(service, now_ms=now_ms(), exclude=self._tried)
+
+    def _other_entry(self) -> ConnectionPool | None:
+        if self._request.is_handed_off or self._is_handoff_tried:
+            return None
+        return self._directory.handoff(self._request.service, now_ms=now_ms())
+
+    def _place(self, target_id: str) -> Place:
+        return Place(target_id=target_id, pool=self._directory.pool(target_id))
+
+    async def _try(self, place: Place) -> OutcomeResponse | None:
+        """Make one attempt; return ``None`` if the caller got a complete response."""
+        attempt = Attempt(
+            place, self._request, self._body, caller=self._caller, directory=self._directory
+        )
+        self._attempt = attempt
+        self._attempts += 1
+        try:
+            await attempt.run()
+            return None
+        except PoolLimitError:
+            return NO_TARGET
+        except (ConnectError, NotSentError, RefusedError):
+            self._mark_tried(place)
+            self._may_retry_freely = not attempt.is_written
+            self._attempt = None
+        except ExchangeError:
+            self._mark_tried(place)
+            self._may_retry_freely = False
+            self._may_have_run = True
+            if attempt.stream_error is not None:
+                return OutcomeResponse(
+                    status=400, outcome=Outcome.UNKNOWN, reason=str(attempt.stream_error)
+                )
+        return NO_RESPONSE if self._may_have_run else NO_TARGET
+
+    def _mark_tried(self, place: Place) -> None:
+        if place.target_id is None:
+            self._is_handoff_tried = True
+        else:
+            self._tried.add(place.target_id)
+
+    def _may_try_again(self) -> bool:
+        """Return whether another attempt is allowed after one that failed.
+
+        Without a write there is nothing to repeat, so only the number of attempts is bounded.
+        """
+        if self._attempts >= MAX_ATTEMPTS or self._is_head_forwarded():
+            return False
+        if self._may_retry_freely:
+            return True
+        if not self._request.is_idempotent or not self._body.is_whole:
+            return False
+        budget = self._directory.retry_budget(self._request.service)
+        return budget.try_spend(now_ms=now_ms())
+
+    def _is_head_forwarded(self) -> bool:
+        return self._attempt is not None and self._attempt.is_head_forwarded
+
+    def _timed_out(self) -> OutcomeResponse:
+        is_written = self._attempt is not None and self._attempt.is_written
+        return TIMED_OUT if is_written or self._may_have_run else TIMED_OUT_BEFORE_SEND
--- /dev/null
+++ b/src/kingcupusher/_proxy/proxy.py
@@ -0,0 +1,102 @@
+"""Serves callers: admits each request, sends it to targets and responds."""
+
+from __future__ import annotations
+
+import curio
+import h11
+
+from kingcupusher._core.address import Address
+from kingcupusher._http.errors import BadRequestError, CallerGoneError
+from kingcupusher._http.listener import Listener
+from kingcupusher._http.server_connection import ServerConnection, ServerLimits
+from kingcupusher._proxy.admission import QueueFactory, fifo_queue
+from kingcupusher._proxy.classify import classify
+from kingcupusher._proxy.directory import Directory
+from kingcupusher._proxy.errors import RejectedError
+from kingcupusher._proxy.exchange import Exchange
+from kingcupusher._proxy.outcome import rejection, respond
+from kingcupusher._proxy.waiting import WaitingRoom
+
+PUMP_S = 0.02
+DRAIN_GRACE_MS = 500.0
+
+
+class Proxy:
+    """The request path of an entry."""
+
+    __slots__ = ("_directory", "_limits", "_listeners", "_waiting")
+
+    def __init__(
+        self,
+        directory: Directory,
+        *,
+        queue_factory: QueueFactory = fifo_queue,
+        limits: ServerLimits | None = None,
+    ) -> None:
+        self._directory = directory
+        self._limits = limits or ServerLimits()
+        self._listeners: list[Listener] = []
+        self._waiting = WaitingRoom(directory, queue_factory)
+
+    def listen(self, address: Address) -> Listener:
+        """Open a listening socket; with port 0 the system chooses the port."""
+        listener = Listener(address, self._handle, limits=self._limits)
+        self._listeners.append(listener)
+        return listener
+
+    async def serve(self, address: Address) -> None:
+        """Serve callers on ``address`` until :meth:`drain` has completed."""
+        await self.run(self.listen(address))
+
+    async def run(self, listener: Listener) -> None:
+        """Serve the callers of ``listener`` until :meth:`drain` has completed."""
+        pump = await curio.spawn(self._pump_regularly)
+        try:
+            await listener.run()
+        finally:
+            await pump.cancel()
+
+    async def drain(self, *, deadline_ms: float, grace_ms: float = DRAIN_GRACE_MS) -> None:
+        """Stop accepting, finish the requests in flight, then let :meth:`serve` return."""
+        for listener in self._listeners:
+            await listener.stop(grace_ms=grace_ms, deadline_ms=deadline_ms)
+
+    async def pump(self) -> None:
+        """Give waiting requests a target; call it when targets became usable."""
+        await self._waiting.pump_all()
+
+    async def _pump_regularly(self) -> None:
+        while True:
+            await curio.sleep(PUMP_S)
+            await self._waiting.pump_all()
+
+    async def _handle(self, caller: ServerConnection) -> None:
+        try:
+            while (head := await caller.next_request()) is not None:
+                await self._serve_request(caller, head)
+                if not caller.can_continue():
+                    break
+        except BadRequestError as error:
+            caller.close_after_response = True
+            await self._refuse(caller, error.status, str(error))
+        except CallerGoneError:
+            return
+        if not caller.is_gone:
+            await caller.finish()
+
+    async def _refuse(self, caller: ServerConnection, status: int, reason: str) -> None:
+        try:
+            await respond(caller, rejection(status, reason))
+        except CallerGoneError:
+            return
+
+    async def _serve_request(self, caller: ServerConnection, head: h11.Request) -> None:
+        try:
+            request = classify(head, self._directory, received_ms=caller.received_ms)
+        except RejectedError as error:
+            await respond(caller, rejection(error.status, str(error)))
+            return
+        exchange = Exchange(
+            request, caller=caller, directory=self._directory, waiting=self._waiting
+        )
+        await exchange.run()
