Add the inner protocol between entries

Entries need heartbeats, notices and configuration from each other. The messages are tagged arrays (msgspec) in CBOR; a heartbeat without changes is 26 bytes before framing.

The echoed sequence is tied to the process that sent it (echo_boot_id): a replaced entry counts from 1 again, and an echo of its predecessor would make a report look younger than it is.

Seen on loopback with three hubs: all link up, messages arrive, and links without heartbeats are closed after 2 s and reopened.

--- a/src/kingcupusher/_peers/__init__.py
+++ b/src/kingcupusher/_peers/__init__.py
@@ -1,3 +1,41 @@
 """Inner protocol between entries."""
 
 from __future__ import annotations
+
+from kingcupusher._peers.codec import decode, encode
+from kingcupusher._peers.connection import ByteCounters, PeerIdentity
+from kingcupusher._peers.errors import HandshakeError, LinkClosedError, MessageError, PeerError
+from kingcupusher._peers.events import PeerConnected, PeerDisconnected, PeerEvent, PeerMessage
+from kingcupusher._peers.hub import PeerHub
+from kingcupusher._peers.messages import (
+    ConfigReply,
+    ConfigRequest,
+    Heartbeat,
+    Message,
+    TargetEntry,
+    TargetNotice,
+    TargetNoticeAck,
+)
+
+__all__ = [
+    "ByteCounters",
+    "ConfigReply",
+    "ConfigRequest",
+    "HandshakeError",
+    "Heartbeat",
+    "LinkClosedError",
+    "Message",
+    "MessageError",
+    "PeerConnected",
+    "PeerDisconnected",
+    "PeerError",
+    "PeerEvent",
+    "PeerHub",
+    "PeerIdentity",
+    "PeerMessage",
+    "TargetEntry",
+    "TargetNotice",
+    "TargetNoticeAck",
+    "decode",
+    "encode",
+]
--- /dev/null
+++ b/src/kingcupusher/_peers/hub.py
@@ -0,0 +1,119 @@
+"""All links of one entry."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+import curio
+
+from kingcupusher._core.address import Address
+from kingcupusher._peers.codec import encode
+from kingcupusher._peers.connection import ByteCounters, Connection, PeerIdentity, accept, dial
+from kingcupusher._peers.errors import HandshakeError, LinkClosedError
+from kingcupusher._peers.events import PeerConnected, PeerDisconnected
+from kingcupusher._peers.link import Link
+from kingcupusher._peers.messages import Message
+
+HANDSHAKE_S = 1.0
+# A peer that came back is reached within one heartbeat period.
+REDIAL_S = 0.3
+BACKLOG = 64
+INBOUND_LENGTH = 4_096
+
+
+class PeerHub:
+    """Keeps one link to each peer; the entry with the lower seat dials.
+
+    ``inbound`` receives :class:`PeerMessage`, :class:`PeerConnected` and
+    :class:`PeerDisconnected`.
+    """
+
+    def __init__(self, address: Address, *, seat: int, boot_id: int) -> None:
+        self.inbound = curio.Queue(maxsize=INBOUND_LENGTH)
+        self.counters = ByteCounters()
+        self._own = PeerIdentity(seat, boot_id)
+        self._sock = curio.network.tcp_server_socket(
+            address.host, address.port, backlog=BACKLOG, reuse_address=True
+        )
+        self._links: dict[int, Link] = {}
+        self._addresses: dict[int, Address] = {}
+        self._dialers: dict[int, curio.Task] = {}
+
+    @property
+    def address(self) -> Address:
+        """Address that the hub listens on, with the port that the system chose."""
+        return Address(*self._sock.getsockname()[:2])
+
+    @property
+    def connected(self) -> frozenset[int]:
+        """Seats with an open link."""
+        return frozenset(self._links)
+
+    async def set_peers(self, addresses: Mapping[int, Address]) -> None:
+        """Replace the registered peers; links to other seats are left to fall silent."""
+        wanted = {s: a for s, a in addresses.items() if s > self._own.seat}
+        for seat in [s for s in self._dialers if wanted.get(s) != self._addresses.get(s)]:
+            await self._dialers.pop(seat).cancel()
+        self._addresses = wanted
+        for seat in wanted:
+            if seat not in self._dialers:
+                self._dialers[seat] = await curio.spawn(self._keep_dialing, seat, daemon=True)
+
+    async def send(self, seat: int, message: Message) -> bool:
+        """Queue a message for ``seat``; False if there is no usable link to it."""
+        return await self._send(seat, encode(message))
+
+    async def broadcast(self, message: Message) -> None:
+        """Queue a message for every linked peer."""
+        data = encode(message)
+        for seat in list(self._links):
+            await self._send(seat, data)
+
+    async def run(self) -> None:
+        """Accept links until cancelled, then close all."""
+        try:
+            await curio.network.run_server(self._sock, self._on_client)
+        finally:
+            for dialer in self._dialers.values():
+                await dialer.cancel()
+
+    async def _send(self, seat: int, data: bytes) -> bool:
+        link = self._links.get(seat)
+        return link is not None and await link.send(data)
+
+    async def _on_client(self, sock: curio.io.Socket, _address: Any) -> None:
+        try:
+            async with curio.timeout_after(HANDSHAKE_S):
+                connection = await accept(sock, own=self._own, counters=self.counters)
+        except (HandshakeError, LinkClosedError, curio.TaskTimeout):
+            return
+        await self._keep(connection)
+
+    async def _keep_dialing(self, seat: int) -> None:
+        while True:
+            connection = await self._try_dial(seat)
+            if connection is not None:
+                await self._keep(connection)
+            await curio.sleep(REDIAL_S)
+
+    async def _try_dial(self, seat: int) -> Connection | None:
+        address = self._addresses[seat]
+        try:
+            async with curio.timeout_after(HANDSHAKE_S):
+                return await dial(address, own=self._own, seat=seat, counters=self.counters)
+        except (OSError, HandshakeError, LinkClosedError, curio.TaskTimeout):
+            return None
+
+    async def _keep(self, connection: Connection) -> None:
+        link = Link(connection, inbound=self.inbound)
+        # A newer link replaces an older one: the peer dials again only after it gave that up.
+        self._links[link.seat] = link
+        await self.inbound.put(PeerConnected(connection.peer))
+        try:
+            await link.run()
+        except LinkClosedError as error:
+            await self.inbound.put(PeerDisconnected(connection.peer, str(error)))
+        finally:
+            if self._links.get(link.seat) is link:
+                del self._links[link.seat]
--- /dev/null
+++ b/src/kingcupusher/_peers/link.py
@@ -0,0 +1,81 @@
+"""One link: a task that owns a connection and its queue of outgoing messages."""
+
+from __future__ import annotations
+
+import curio
+
+from kingcupusher._core import now_ms
+from kingcupusher._peers.codec import decode
+from kingcupusher._peers.connection import Connection
+from kingcupusher._peers.errors import LinkClosedError, MessageError
+from kingcupusher._peers.events import PeerMessage
+from kingcupusher._peers.messages import Heartbeat
+
+SILENCE_MS = 2_000
+# Two heartbeats a second and the notices of a zone that goes out fit; a longer queue means
+# that the peer does not read.
+QUEUE_LENGTH = 512
+
+
+class Link:
+    """Exchanges messages with one peer until it closes or sends no heartbeat for 2 s."""
+
+    __slots__ = ("_connection", "_inbound", "_outgoing", "_silent_at_ms", "_stalled")
+
+    def __init__(self, connection: Connection, *, inbound: curio.Queue) -> None:
+        self._connection = connection
+        self._inbound = inbound
+        self._outgoing = curio.Queue(maxsize=QUEUE_LENGTH)
+        self._silent_at_ms = now_ms() + SILENCE_MS
+        self._stalled = False
+
+    @property
+    def seat(self) -> int:
+        """Seat of the peer."""
+        return self._connection.peer.seat
+
+    async def send(self, data: bytes) -> bool:
+        """Queue one encoded message; False if the queue is full and the link must close."""
+        if self._stalled or self._outgoing.full():
+            self._stalled = True
+            return False
+        await self._outgoing.put(data)
+        return True
+
+    async def run(self) -> None:
+        """Exchange messages until the link ends; raise :class:`LinkClosedError` with the cause."""
+        writer = await curio.spawn(self._write, daemon=True)
+        try:
+            while True:
+                await self._read()
+        finally:
+            await writer.cancel()
+            await self._connection.close()
+
+    async def _read(self) -> None:
+        remaining_s = (self._silent_at_ms - now_ms()) / 1000.0
+        if self._stalled or remaining_s <= 0:
+            raise LinkClosedError(f"seat {self.seat} sent no heartbeat or reads too slowly")
+        try:
+            async with curio.timeout_after(remaining_s):
+                received = await self._connection.receive()
+        except curio.TaskTimeout:
+            return
+        for data in received:
+            await self._deliver(data)
+
+    async def _deliver(self, data: bytes) -> None:
+        try:
+            message = decode(data)
+        except MessageError as error:
+            raise LinkClosedError(f"seat {self.seat} sent a bad message: {error}") from error
+        if isinstance(message, Heartbeat):
+            self._silent_at_ms = now_ms() + SILENCE_MS
+        await self._inbound.put(PeerMessage(self._connection.peer, message))
+
+    async def _write(self) -> None:
+        try:
+            while True:
+                await self._connection.send(await self._outgoing.get())
+        except LinkClosedError:
+            self._stalled = True
--- /dev/null
+++ b/src/kingcupusher/_peers/messages.py
@@ -0,0 +1,87 @@
+"""Messages between entries, encoded as arrays to keep them small.
+
+A newer version may only append fields with defaults: a decoder ignores surplus fields.
+"""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from kingcupusher._core.target_state import TargetState
+
+
+class TargetEntry(Struct, array_like=True, frozen=True):
+    """What a coordinator says about one target.
+
+    ``UNKNOWN`` makes no statement: the sender does not coordinate the target now, or has yet to
+    verify it. ``epoch`` grows with each statement that revokes or grants.
+    """
+
+    target_id: str
+    epoch: int
+    state: TargetState
+    boot_id: str | None = None
+
+
+class Heartbeat(Struct, array_like=True, frozen=True, tag=1, kw_only=True):
+    """Periodic report of an entry to one peer.
+
+    ``echo_sequence`` is the last sequence number received from the peer's process
+    ``echo_boot_id`` (0 if none), so that the peer can bound the age of this report on its own
+    clock. ``targets`` holds what changed in the sender's list between ``base_version``, which the
+    receiver has confirmed, and ``list_version``; a base of 0 marks a whole list.
+    ``seen_version`` confirms the receiver's list in the same way. ``platform_age_ms`` is the age
+    of the sender's confirmation by the platform, ``platform_silence_ms`` the time since the last
+    successful response of the key-value service to the sender itself.
+    """
+
+    seat: int
+    boot_id: int
+    sequence: int
+    echo_boot_id: int
+    echo_sequence: int
+    config_version: int
+    platform_age_ms: int | None
+    platform_silence_ms: int | None
+    platform_reachable: bool
+    draining: bool
+    list_version: int
+    base_version: int
+    seen_version: int
+    targets: list[TargetEntry] = []
+
+
+class TargetNotice(Struct, array_like=True, frozen=True, tag=2):
+    """A sign that a target must not be used as open any more.
+
+    ``epoch`` is the newest statement that the sender knew when it saw the sign; a coordinator
+    sends the epoch of its revocation.
+    """
+
+    target_id: str
+    boot_id: str | None
+    state: TargetState
+    epoch: int
+
+
+class TargetNoticeAck(Struct, array_like=True, frozen=True, tag=3):
+    """Confirms that the sender uses no open grant of ``epoch`` or older."""
+
+    target_id: str
+    epoch: int
+
+
+class ConfigRequest(Struct, array_like=True, frozen=True, tag=4):
+    """Asks for the configuration document if it is at least ``version``."""
+
+    version: int
+
+
+class ConfigReply(Struct, array_like=True, frozen=True, tag=5):
+    """An encoded configuration document and its version."""
+
+    version: int
+    document: bytes
+
+
+Message = Heartbeat | TargetNotice | TargetNoticeAck | ConfigRequest | ConfigReply
