Add target and load stand-ins

Service times are simulated by timers. The body of a response derives from request id and request body by an extendable hash, so that a swapped or cut response is recognised without state. A cold target bears exactly its cold concurrency until it has had work for warmup_ms (--cold-shape linear raises it in steps). Warming by wall time was ruled out: an idle target would count as warm without proof.

--- /dev/null
+++ b/standins/errors.py
@@ -0,0 +1,9 @@
+"""Errors of the stand-ins."""
+
+from __future__ import annotations
+
+from kingcupusher._core import KingcupusherError
+
+
+class StandinError(KingcupusherError):
+    """Base of the errors of the stand-ins."""
--- /dev/null
+++ b/standins/load/runner.py
@@ -0,0 +1,128 @@
+"""Sends a plan at its scheduled instants and records each outcome."""
+
+from __future__ import annotations
+
+import curio
+import h11
+from msgspec import Struct
+
+from kingcupusher._core import now_ms
+from kingcupusher._core.address import Address
+from standins import timers
+from standins.load.check import Outcome, classify
+from standins.load.connection import CallerConnection, EntryConnections, request_head
+from standins.load.errors import NoResponseError, NotSentError, TruncatedError
+from standins.load.plan import PlannedRequest
+
+START_DELAY_MS = 100.0
+# An entry responds by the deadline; the caller waits a little longer for that response.
+GRACE_MS = 500.0
+
+
+class RunSettings(Struct, frozen=True, kw_only=True):
+    """Where and how the requests of a plan are sent."""
+
+    entries: list[Address]
+    host: str
+    timeout_ms: float = 5_000.0
+
+
+class Record(Struct):
+    """Outcome of one request; ``scheduled_ms`` is on the monotonic clock of the machine.
+
+    ``latency_ms`` counts from the scheduled instant, so that a slow sender hides no delay.
+    ``sent_late_ms`` is the part of it that passed before the sender took up the request.
+    """
+
+    request_id: str
+    entry: str
+    idempotent: bool
+    scheduled_ms: float
+    sent_late_ms: float
+    latency_ms: float
+    outcome: Outcome
+    detail: str = ""
+
+
+class Runner:
+    """Sends requests to the entries in turn."""
+
+    __slots__ = ("_done", "_entries", "_left", "_records", "_settings")
+
+    def __init__(self, settings: RunSettings) -> None:
+        self._settings = settings
+        self._entries = [EntryConnections(address) for address in settings.entries]
+        self._records: list[Record] = []
+        self._left = 0
+        self._done = curio.Event()
+
+    async def run(self, plan: list[PlannedRequest]) -> list[Record]:
+        """Send every request of ``plan`` and return their records in order of completion."""
+        self._left = len(plan)
+        start_ms = now_ms() + START_DELAY_MS
+        for index, planned in enumerate(plan):
+            entry = self._entries[index % len(self._entries)]
+            scheduled_ms = start_ms + planned.arrival_ms
+            await timers.sleep_until(scheduled_ms)
+            await curio.spawn(self._send, planned, entry, scheduled_ms, daemon=True)
+        if plan:
+            await self._done.wait()
+        return self._records
+
+    async def _send(
+        self, planned: PlannedRequest, entry: EntryConnections, scheduled_ms: float
+    ) -> None:
+        record = Record(
+            request_id=planned.request_id,
+            entry=str(entry.address),
+            idempotent=planned.idempotent,
+            scheduled_ms=scheduled_ms,
+            sent_late_ms=now_ms() - scheduled_ms,
+            latency_ms=0.0,
+            outcome=Outcome.UNKNOWN,
+        )
+        await self._fill(record, planned, entry)
+        record.latency_ms = now_ms() - scheduled_ms
+        self._records.append(record)
+        self._left -= 1
+        if not self._left:
+            await self._done.set()
+
+    async def _fill(self, record: Record, planned: PlannedRequest, entry: EntryConnections) -> None:
+        try:
+            record.outcome = await self._exchange(planned, entry, record.scheduled_ms)
+        except NotSentError as error:
+            record.outcome, record.detail = Outcome.NOT_RUN, str(error)
+        except NoResponseError as error:
+            record.outcome, record.detail = Outcome.UNKNOWN, str(error)
+        except TruncatedError as error:
+            record.outcome, record.detail = Outcome.BROKEN, str(error)
+
+    async def _exchange(
+        self, planned: PlannedRequest, entry: EntryConnections, scheduled_ms: float
+    ) -> Outcome:
+        timeout_ms = self._settings.timeout_ms
+        deadline_ms = scheduled_ms + timeout_ms + GRACE_MS
+        connection = await entry.take(deadline_ms=deadline_ms)
+        head = request_head(planned, host=self._settings.host, timeout_ms=timeout_ms)
+        outcome = await self._exchange_on(connection, planned, head, deadline_ms)
+        await entry.give_back(connection)
+        return outcome
+
+    async def _exchange_on(
+        self,
+        connection: CallerConnection,
+        planned: PlannedRequest,
+        head: h11.Request,
+        deadline_ms: float,
+    ) -> Outcome:
+        try:
+            async with curio.timeout_after(max(0.0, deadline_ms - now_ms()) / 1000.0):
+                answer = await connection.exchange(head, planned.body)
+        except curio.TaskTimeout:
+            await connection.close()
+            raise NoResponseError("no whole response by the deadline") from None
+        except (NoResponseError, TruncatedError):
+            await connection.close()
+            raise
+        return classify(planned, answer)
--- /dev/null
+++ b/standins/target/ledger.py
@@ -0,0 +1,58 @@
+"""What a target did: executions by request id, and counters."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from msgspec import Struct, field
+
+
+class Progress(Enum):
+    """How far an execution came."""
+
+    STARTED = "started"
+    DONE = "done"
+    CANCELLED = "cancelled"
+    EXPIRED = "expired"
+
+
+class Execution(Struct):
+    """One execution of a request; ``started_ms`` is on the monotonic clock of the machine."""
+
+    request_id: str
+    started_ms: float
+    progress: Progress = Progress.STARTED
+
+
+class Counters(Struct):
+    """Totals since the process started, over all restarts of the simulated server."""
+
+    requests: int = 0
+    last_request_ms: float = 0.0
+    shed: int = 0
+    refused_draining: int = 0
+    cancelled_queued: int = 0
+    expired_queued: int = 0
+    failed_fast: int = 0
+    probes: int = 0
+    fall_overs: int = 0
+    restarts: int = 0
+    max_concurrency_cold: int = 0
+    max_concurrency: int = 0
+    connections_opened: int = 0
+    connections_refused: int = 0
+    max_connections: int = 0
+
+
+class Ledger(Struct):
+    """Executions in order of their start, counters, and the instants of all probes."""
+
+    executions: list[Execution] = field(default_factory=list)
+    counters: Counters = field(default_factory=Counters)
+    probes_ms: list[float] = field(default_factory=list)
+
+    def start(self, request_id: str, *, at_ms: float) -> Execution:
+        """Log the start of an execution."""
+        execution = Execution(request_id, at_ms)
+        self.executions.append(execution)
+        return execution
