Test that the load tool detects damaged responses

A load tool that accepts a swapped or cut response would hide the worst faults of the product, and a sender that measures from the moment it sends would hide delay.

The classification is tested as a table, and connection faults against a server in the same kernel.

--- /dev/null
+++ b/testing/features/load_tool.feature
@@ -0,0 +1,59 @@
+Feature: The load tool reports what callers received
+  A fault of the load tool would hide a truncated, swapped or duplicated response of the product.
+
+  Scenario Outline: An answer counts as whole only if it answers its own request
+    Given a planned request of <planned_bytes> bytes
+    When the answer has status <status>, outcome "<declared>" and <fault>
+    Then the load tool counts it as <outcome>
+
+    Examples:
+      | planned_bytes | status | declared | fault                        | outcome |
+      | 200           | 200    |          | no fault                     | whole   |
+      | 0             | 200    |          | no fault                     | whole   |
+      | 200           | 200    |          | the body of another request  | broken  |
+      | 200           | 200    |          | the id of another request    | broken  |
+      | 200           | 200    |          | one byte less                | broken  |
+      | 200           | 200    |          | one byte more                | broken  |
+      | 200           | 200    |          | one changed byte             | broken  |
+      | 200           | 200    |          | the digest of another body   | broken  |
+      | 200           | 503    | not-run  | no fault                     | not_run |
+      | 200           | 502    | unknown  | no fault                     | unknown |
+      | 200           | 504    | unknown  | no fault                     | unknown |
+      | 200           | 500    |          | no fault                     | error   |
+      | 200           | 503    |          | no fault                     | error   |
+
+  Scenario Outline: A failed connection is reported by how far it came
+    Given a server that <behaviour>
+    When the load tool sends one request to it
+    Then the load tool counts it as <outcome>
+
+    Examples:
+      | behaviour                           | outcome |
+      | does not listen                     | not_run |
+      | closes before the response          | unknown |
+      | never responds                      | unknown |
+      | stops in the middle of the body     | broken  |
+      | closes in the middle of the head    | unknown |
+      | ends a chunked body without its end | broken  |
+      | sends the response of another       | broken  |
+
+  Scenario Outline: Executions at the targets are compared with the outcomes
+    Given a request that is <kind> and was reported as <outcome>
+    When the targets logged <executions>
+    Then the comparison counts <duplicates> duplicates, <repeats> repeats, <false> false not-run and <missing> missing
+
+    Examples:
+      | kind           | outcome | executions   | duplicates | repeats | false | missing |
+      | non-idempotent | whole   | done         | 0          | 0       | 0     | 0       |
+      | non-idempotent | whole   | done done    | 1          | 0       | 0     | 0       |
+      | non-idempotent | unknown | started done | 1          | 0       | 0     | 0       |
+      | idempotent     | whole   | started done | 0          | 1       | 0     | 0       |
+      | idempotent     | not_run | none         | 0          | 0       | 0     | 0       |
+      | idempotent     | not_run | cancelled    | 0          | 0       | 1     | 0       |
+      | idempotent     | whole   | none         | 0          | 0       | 0     | 1       |
+      | idempotent     | whole   | cancelled    | 0          | 0       | 0     | 1       |
+
+  Scenario: Latency counts from the scheduled instant
+    Given a server that blocks the sender
+    When two requests are scheduled while the sender is held up for 200 ms
+    Then both latencies include the time for which the sender was held up
--- /dev/null
+++ b/testing/features/steps/load_tool_steps.py
@@ -0,0 +1,235 @@
+"""Steps for the load tool."""
+
+from __future__ import annotations
+
+import time
+
+import curio
+import h11
+from behave import given, then, when
+
+from kingcupusher._core import Registry
+from kingcupusher._core.address import Address
+from standins import content
+from standins.load.check import Answer, Outcome, classify
+from standins.load.plan import PlannedRequest
+from standins.load.runner import Record, Runner, RunSettings
+from standins.load.summary import compare_executions
+from standins.processes import LOOPBACK, AddressPool
+from standins.target.ledger import Execution, Progress
+
+TIMEOUT_MS = 200.0
+HEAD = b"HTTP/1.1 200 OK\r\n"
+
+ANSWER_FAULTS: Registry = Registry("answer fault")
+SERVER_BEHAVIOURS: Registry = Registry("server behaviour")
+
+
+def _planned(request_id="a-1", response_bytes=200):
+    return PlannedRequest(request_id, 0.0, 1.0, True, response_bytes, b"")
+
+
+def _body(planned):
+    request_id = planned.request_id.encode()
+    return content.response_body(request_id, planned.body, length_bytes=planned.response_bytes)
+
+
+def _answer(planned, *, request_id=None, body=None, digest=None):
+    whole = _body(planned)
+    headers = {
+        content.REQUEST_ID: request_id or planned.request_id.encode(),
+        content.BODY_DIGEST: digest or content.body_digest(whole),
+    }
+    return Answer(200, headers, whole if body is None else body)
+
+
+@ANSWER_FAULTS.register("no fault")
+def _no_fault(planned):
+    return _answer(planned)
+
+
+@ANSWER_FAULTS.register("the body of another request")
+def _other_body(planned):
+    return _answer(planned, body=_body(_planned("a-2")))
+
+
+@ANSWER_FAULTS.register("the id of another request")
+def _other_id(planned):
+    return _answer(planned, request_id=b"a-2")
+
+
+@ANSWER_FAULTS.register("one byte less")
+def _one_less(planned):
+    return _answer(planned, body=_body(planned)[:-1])
+
+
+@ANSWER_FAULTS.register("one byte more")
+def _one_more(planned):
+    return _answer(planned, body=_body(planned) + b"x")
+
+
+@ANSWER_FAULTS.register("one changed byte")
+def _changed(planned):
+    body = _body(planned)
+    return _answer(planned, body=bytes([body[0] ^ 1]) + body[1:])
+
+
+@ANSWER_FAULTS.register("the digest of another body")
+def _other_digest(planned):
+    return _answer(planned, digest=content.body_digest(b"other"))
+
+
+@given("a planned request of {response_bytes:d} bytes")
+def given_planned(context, response_bytes):
+    context.planned = _planned(response_bytes=response_bytes)
+
+
+@when('the answer has status {status:d}, outcome "" and {fault}')
+def when_answer_without_outcome(context, status, fault):
+    answer = ANSWER_FAULTS.get(fault)(context.planned)
+    context.outcome = classify(context.planned, Answer(status, answer.headers, answer.body))
+
+
+@when('the answer has status {status:d}, outcome "{declared}" and {fault}')
+def when_answer(context, status, declared, fault):
+    answer = ANSWER_FAULTS.get(fault)(context.planned)
+    headers = {**answer.headers, b"x-outcome": declared.encode()}
+    context.outcome = classify(context.planned, Answer(status, headers, answer.body))
+
+
+@then("the load tool counts it as {outcome}")
+def then_outcome(context, outcome):
+    assert context.outcome is Outcome(outcome), context.outcome
+
+
+@SERVER_BEHAVIOURS.register("closes before the response")
+async def _close_at_once(_sock):
+    return
+
+
+@SERVER_BEHAVIOURS.register("never responds")
+async def _stay_silent(_sock):
+    await curio.sleep(10)
+
+
+@SERVER_BEHAVIOURS.register("stops in the middle of the body")
+async def _half_body(sock):
+    await sock.sendall(HEAD + b"content-length: 200\r\n\r\n" + b"x" * 100)
+
+
+@SERVER_BEHAVIOURS.register("closes in the middle of the head")
+async def _half_head(sock):
+    await sock.sendall(HEAD + b"content-le")
+
+
+@SERVER_BEHAVIOURS.register("ends a chunked body without its end")
+async def _unfinished_chunks(sock):
+    await sock.sendall(HEAD + b"transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n")
+
+
+@SERVER_BEHAVIOURS.register("sends the response of another")
+async def _other_response(sock):
+    answer = _answer(_planned("a-2"))
+    connection = h11.Connection(h11.SERVER)
+    connection.receive_data(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+    connection.next_event()
+    headers = [*answer.headers.items(), (b"content-length", b"%d" % len(answer.body))]
+    data = connection.send(h11.Response(status_code=200, headers=headers))
+    await sock.sendall(data + connection.send(h11.Data(data=answer.body)))
+
+
+@given("a server that does not listen")
+def given_no_server(context):
+    context.behaviour = None
+
+
+@given("a server that blocks the sender")
+def given_blocking_sender(context):
+    context.behaviour = SERVER_BEHAVIOURS.get("closes before the response")
+
+
+@given("a server that {behaviour}")
+def given_server(context, behaviour):
+    context.behaviour = SERVER_BEHAVIOURS.get(behaviour)
+
+
+async def _serve(address, behaviour):
+    async def on_client(client, _peer):
+        await client.recv(65_536)
+        await behaviour(client)
+
+    await curio.tcp_server(LOOPBACK, address.port, on_client)
+
+
+async def _send(address, behaviour, plan):
+    server = await curio.spawn(_serve, address, behaviour) if behaviour else None
+    await curio.sleep(0)
+    settings = RunSettings(entries=[address], host="a.example", timeout_ms=TIMEOUT_MS)
+    records = await Runner(settings).run(plan)
+    if server:
+        await server.cancel()
+    return records
+
+
+@when("the load tool sends one request to it")
+def when_sent(context):
+    address = AddressPool().take()
+    records = curio.run(_send, address, context.behaviour, [_planned()])
+    context.outcome = records[0].outcome
+
+
+@given("a request that is {kind} and was reported as {outcome}")
+def given_record(context, kind, outcome):
+    context.record = Record(
+        request_id="a-1",
+        entry="",
+        idempotent=kind == "idempotent",
+        scheduled_ms=0.0,
+        sent_late_ms=0.0,
+        latency_ms=1.0,
+        outcome=Outcome(outcome),
+    )
+
+
+@when("the targets logged {executions}")
+def when_logged(context, executions):
+    names = [] if executions == "none" else executions.split()
+    log = [Execution("a-1", 0.0, Progress(name)) for name in names]
+    context.comparison = compare_executions([context.record], log)
+
+
+@then(
+    "the comparison counts {duplicates:d} duplicates, {repeats:d} repeats,"
+    " {false:d} false not-run and {missing:d} missing"
+)
+def then_comparison(context, duplicates, repeats, false, missing):
+    found = context.comparison
+    assert found.duplicates == duplicates, found
+    assert found.repeats == repeats, found
+    assert found.not_run_but_ran == false, found
+    assert found.whole_but_not_done == missing, found
+
+
+async def _send_held_up(address, behaviour, plan):
+    async def hold_up():
+        await curio.sleep(0.1)
+        time.sleep(0.2)
+
+    holder = await curio.spawn(hold_up)
+    records = await _send(address, behaviour, plan)
+    await holder.join()
+    return records
+
+
+@when("two requests are scheduled while the sender is held up for 200 ms")
+def when_held_up(context):
+    plan = [PlannedRequest(f"a-{n}", 10.0 + n, 1.0, True, 200, b"") for n in range(2)]
+    address: Address = AddressPool().take()
+    context.records = curio.run(_send_held_up, address, context.behaviour, plan)
+
+
+@then("both latencies include the time for which the sender was held up")
+def then_latencies(context):
+    assert len(context.records) == 2
+    for record in context.records:
+        assert record.latency_ms >= 150.0, record
