Charge connection cost to the first work on the connection

A connection waited for a slot before its first request was read, so a full target answered a new connection's request late instead of shedding it, and a fault that ends a connection never closed the socket because the shutdown was not awaited.

Weighed: a background job per connection takes the right slot time but does not delay the request; adding the cost to the first work does both. A connection closed without a request pays at its close.

--- a/standins/target/connection.py
+++ b/standins/target/connection.py
@@ -13,7 +13,7 @@
 from standins import content, timers
 from standins.target.endpoints import answer
 from standins.target.machine import Machine
-from standins.target.work import Call, FellOverError, Reply, occupy
+from standins.target.work import Call, FellOverError, Reply, SetupCost, occupy
 
 RECEIVE_BYTES = 65_536
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -23,12 +23,13 @@
 class TargetConnection:
     """Serves one connection; its reader runs beside its worker so that a close cancels work."""
 
-    __slots__ = ("_data", "_http", "_machine", "_number", "_sock", "task")
+    __slots__ = ("_data", "_http", "_machine", "_number", "_setup", "_sock", "task")
 
     def __init__(self, sock: curio.io.Socket, machine: Machine, *, number: int) -> None:
         self._sock = sock
         self._machine = machine
         self._number = number
+        self._setup = SetupCost(machine.settings.connect_cost_ms)
         self._http = h11.Connection(h11.SERVER)
         self._data = curio.Event()
         self.task: Any = None
@@ -43,6 +44,8 @@
         finally:
             await worker.cancel()
             await self._sock.close()
+        if self._setup.due_ms:
+            await occupy(self._machine, self._setup, work_ms=0.0)
 
     def reset(self) -> None:
         """Make the coming close reset the connection."""
@@ -55,19 +58,18 @@
 
     async def _work(self) -> None:
         try:
-            await occupy(self._machine, self._machine.settings.connect_cost_ms)
             while await self._exchange():
                 self._http.start_next_cycle()
         except (OSError, h11.ProtocolError):
             pass
         except FellOverError:
             self.reset()
-        self._shut_down()
+        await self._shut_down()
 
-    def _shut_down(self) -> None:
+    async def _shut_down(self) -> None:
         # Ends the reader, which closes the socket.
         try:
-            self._sock.shutdown(socket.SHUT_RDWR)
+            await self._sock.shutdown(socket.SHUT_RDWR)
         except OSError:
             return
 
@@ -108,7 +110,7 @@
             elif isinstance(event, h11.Data):
                 body += event.data
             elif isinstance(event, h11.EndOfMessage) and head is not None:
-                return _call(head, bytes(body))
+                return _call(head, bytes(body), self._setup)
             elif isinstance(event, h11.ConnectionClosed):
                 return None
 
@@ -146,11 +148,12 @@
         await self._sock.sendall(head + body[: len(body) // 2])
 
 
-def _call(head: h11.Request, body: bytes) -> Call:
+def _call(head: h11.Request, body: bytes, setup: SetupCost) -> Call:
     return Call(
         head.method.decode("ascii"),
         head.target.decode("ascii"),
         dict(head.headers),
         body,
         now_ms(),
+        setup,
     )
--- a/standins/target/endpoints.py
+++ b/standins/target/endpoints.py
@@ -16,15 +16,15 @@
 async def answer(machine: Machine, call: Call) -> Reply:
     """Answer a probe or execute a request."""
     if call.path in PROBES:
-        await _charge_probe(machine)
+        await _charge_probe(machine, call)
         return await PROBES.get(call.path)(machine, call)
     return await execute(machine, call)
 
 
-async def _charge_probe(machine: Machine) -> None:
+async def _charge_probe(machine: Machine, call: Call) -> None:
     machine.ledger.counters.probes += 1
     machine.ledger.probes_ms.append(now_ms())
-    await occupy(machine, machine.settings.probe_cost_ms)
+    await occupy(machine, call.setup, work_ms=machine.settings.probe_cost_ms)
 
 
 @PROBES.register("/health")
--- a/standins/target/work.py
+++ b/standins/target/work.py
@@ -16,6 +16,17 @@
 MAX_RESPONSE_BYTES = 10_000_000
 
 
+class SetupCost(Struct):
+    """Slot time that a connection has still to pay; its first work in a slot pays it."""
+
+    due_ms: float
+
+    def pay(self) -> float:
+        """Return the slot time that was due."""
+        due_ms, self.due_ms = self.due_ms, 0.0
+        return due_ms
+
+
 class Call(Struct):
     """A whole request as a target received it."""
 
@@ -24,6 +35,7 @@
     headers: dict[bytes, bytes]
     body: bytes
     received_ms: float
+    setup: SetupCost
 
     @property
     def request_id(self) -> bytes:
@@ -127,7 +139,7 @@
     except curio.CancelledError:
         counters.cancelled_queued += 1
         raise
-    end_ms = start_ms + machine.service_time_ms(call.service_time_ms)
+    end_ms = start_ms + call.setup.pay() + machine.service_time_ms(call.service_time_ms)
     try:
         return await _run(machine, call, start_ms=start_ms, end_ms=end_ms)
     finally:
@@ -154,11 +166,11 @@
     return Reply(200, body, digest=content.body_digest(body))
 
 
-async def occupy(machine: Machine, duration_ms: float) -> None:
-    """Take a slot for ``duration_ms``, as new connections and probes do."""
+async def occupy(machine: Machine, setup: SetupCost, *, work_ms: float) -> None:
+    """Take a slot for the setup cost of a connection and ``work_ms``."""
     slots = machine.slots
     start_ms = await slots.acquire()
-    end_ms = start_ms + duration_ms * machine.faults.slow_factor
+    end_ms = start_ms + setup.pay() + work_ms * machine.faults.slow_factor
     try:
         await timers.sleep_until(end_ms)
     finally:
--- /dev/null
+++ b/testing/features/steps/target_standin_steps.py
@@ -0,0 +1,311 @@
+"""Steps for the target stand-in, which runs in the kernel of its scenario."""
+
+from __future__ import annotations
+
+from selectors import SelectSelector
+
+import curio
+import h11
+from behave import given, step, then, when
+
+from kingcupusher._core import now_ms
+from standins import content, timers
+from standins.load.check import OUTCOME
+from standins.load.connection import EntryConnections
+from standins.load.errors import NoResponseError, NotSentError, TruncatedError
+from standins.processes import AddressPool
+from standins.target.faults import FAULTS, FaultOrder
+from standins.target.machine import Machine
+from standins.target.server import TargetServer
+from standins.target.settings import TargetSettings
+
+CONNECT_DEADLINE_MS = 1_000.0
+SETTLE_S = 0.01
+WARMUP_MS = 100.0
+AMPLE_MS = 2_000.0
+
+ERROR_ENDINGS = {
+    NoResponseError: "no response",
+    curio.TaskTimeout: "no response",
+    NotSentError: "no connection",
+    TruncatedError: "half",
+}
+
+
+def _start(context, **changes):
+    pool = AddressPool()
+    settings = {"connect_cost_ms": 0.0, "start_warm": True, "restart_ms": 300.0, **changes}
+    context.settings = TargetSettings(address=pool.take(), control=pool.take(), **settings)
+    context.kernel = curio.Kernel(selector=SelectSelector())
+    context.add_cleanup(context.kernel.run, shutdown=True)
+    context.results = {}
+    context.machine = Machine(context.settings)
+    context.kernel.run(_spawn_server, context.machine)
+
+
+async def _spawn_server(machine):
+    await curio.spawn(TargetServer(machine).run, daemon=True)
+    await curio.sleep(SETTLE_S)
+
+
+async def _connect(context):
+    connections = EntryConnections(context.settings.address)
+    return await connections.take(deadline_ms=now_ms() + CONNECT_DEADLINE_MS)
+
+
+def _head(name, path, work_ms, left_ms):
+    headers = [
+        (b"host", b"a.example"),
+        (content.REQUEST_ID, name.encode()),
+        (content.SERVICE_TIME_MS, b"%.3f" % work_ms),
+        (b"x-request-timeout-ms", b"%.0f" % left_ms),
+    ]
+    return h11.Request(method="GET", target=path, headers=headers)
+
+
+async def _send(context, name, *, path="/", work_ms=0.0, left_ms=AMPLE_MS, connection=None):
+    try:
+        connection = connection or await _connect(context)
+        async with curio.timeout_after((left_ms + 100.0) / 1000.0):
+            result = await connection.exchange(_head(name, path, work_ms, left_ms), b"")
+    except tuple(ERROR_ENDINGS) as error:
+        result = error
+    if connection:
+        await connection.close()
+    context.results[name] = result
+    return result
+
+
+async def _spawn(context, name, **options):
+    async def send():
+        await _send(context, name, **options)
+
+    task = await curio.spawn(send, daemon=True)
+    await curio.sleep(SETTLE_S)
+    return task
+
+
+async def _send_together(context, names, **options):
+    tasks = [await _spawn(context, name, **options) for name in names]
+    for task in tasks:
+        await task.join()
+
+
+def _ending(result):
+    if isinstance(result, BaseException):
+        return ERROR_ENDINGS[type(result)]
+    outcome = result.headers.get(OUTCOME, b"").decode()
+    return f"{result.status} {outcome}".strip()
+
+
+def _health(context):
+    result = context.kernel.run(lambda: _send(context, "health", path="/health"))
+    return result.body.decode().strip()
+
+
+def _fault(context, name, **order):
+    context.kernel.run(FAULTS.get(name), context.machine, FaultOrder(**order))
+
+
+@given("a warm target")
+def given_warm(context):
+    _start(context)
+
+
+@given("a warm target with one slot and a queue of one")
+def given_small(context):
+    _start(context, slots=1, queue_length=1)
+
+
+@given("a cold target that bears {bears:d} at once")
+def given_cold(context, bears):
+    _start(context, start_warm=False, cold_concurrency=bears, warmup_ms=WARMUP_MS)
+
+
+@given(
+    "a warm target with one slot, connections of {connect_ms:g} ms and probes of {probe_ms:g} ms"
+)
+def given_costly(context, connect_ms, probe_ms):
+    _start(context, slots=1, connect_cost_ms=connect_ms, probe_cost_ms=probe_ms)
+
+
+@given("a warm target whose health lags by {lag_ms:g} ms")
+def given_lagging(context, lag_ms):
+    _start(context, health_lag_ms=lag_ms)
+
+
+@when("nothing runs")
+def when_idle(context):
+    assert not context.machine.slots.running
+
+
+@when("it drains")
+def when_drains(context):
+    _fault(context, "drain")
+
+
+@when("its slot and queue are taken")
+def when_all_taken(context):
+    for name in ("taken", "waiting"):
+        context.kernel.run(lambda name=name: _spawn(context, name, work_ms=300.0))
+
+
+@when("its slot is taken for {work_ms:g} ms")
+def when_taken(context, work_ms):
+    context.kernel.run(lambda: _spawn(context, "taken", work_ms=work_ms))
+
+
+@when('requests "{names}" of {work_ms:g} ms are sent together')
+def when_sent_together(context, names, work_ms):
+    context.kernel.run(lambda: _send_together(context, names.split(), work_ms=work_ms))
+
+
+@when('request "{name}" of {work_ms:g} ms with {left_ms:g} ms left is sent')
+def when_sent(context, name, work_ms, left_ms):
+    context.kernel.run(lambda: _send(context, name, work_ms=work_ms, left_ms=left_ms))
+
+
+@when('a caller sends request "{name}" of {work_ms:g} ms and closes the connection after 30 ms')
+def when_closed(context, name, work_ms):
+    async def send_and_close():
+        connection = await _connect(context)
+        task = await _spawn(context, name, work_ms=work_ms, connection=connection)
+        await curio.sleep(0.03)
+        await task.cancel()
+        await connection.close()
+
+    context.kernel.run(send_and_close)
+
+
+@when('it drains while request "{name}" of {work_ms:g} ms runs')
+def when_drains_meanwhile(context, name, work_ms):
+    async def drain_meanwhile():
+        task = await _spawn(context, name, work_ms=work_ms)
+        await FAULTS.get("drain")(context.machine, FaultOrder())
+        await task.join()
+
+    context.kernel.run(drain_meanwhile)
+
+
+@when("requests of {work_ms:g} ms are sent one by one for its warm-up time")
+def when_warmed(context, work_ms):
+    async def warm():
+        for _ in range(int(WARMUP_MS / work_ms) + 1):
+            await _send(context, "warming", work_ms=work_ms)
+
+    context.kernel.run(warm)
+
+
+@when("{count:d} connections ask for {path} together")
+def when_many_connect(context, count, path):
+    async def ask():
+        start_ms = now_ms()
+        tasks = [
+            await curio.spawn(lambda n=n: _send(context, f"n{n}", path=path)) for n in range(count)
+        ]
+        for task in tasks:
+            await task.join()
+        context.elapsed_ms = now_ms() - start_ms
+
+    context.kernel.run(ask)
+
+
+@when("a connection is opened and closed")
+def when_opened_and_closed(context):
+    async def open_and_close():
+        connection = await _connect(context)
+        await curio.sleep(SETTLE_S)
+        await connection.close()
+        await curio.sleep(SETTLE_S)
+
+    context.kernel.run(open_and_close)
+
+
+@when('fault "{name}" is switched on')
+def when_fault(context, name):
+    _fault(context, name)
+    context.kernel.run(timers.sleep_until, now_ms() + 20.0)
+
+
+@when("its open connections go silent")
+def when_open_silent(context):
+    context.open_connection = context.kernel.run(lambda: _connect(context))
+    context.kernel.run(timers.sleep_until, now_ms() + 20.0)
+    _fault(context, "silent", open_connections_only=True)
+
+
+@then('request "{name}" ends as "{ending}"')
+def then_ends(context, name, ending):
+    assert _ending(context.results[name]) == ending, context.results[name]
+
+
+@then('a request on an open connection ends as "{ending}"')
+def then_open_ends(context, ending):
+    connection = context.open_connection
+    result = context.kernel.run(lambda: _send(context, "x", left_ms=100.0, connection=connection))
+    assert _ending(result) == ending, result
+
+
+@then('a request on a new connection ends as "{ending}"')
+def then_new_ends(context, ending):
+    result = context.kernel.run(lambda: _send(context, "y"))
+    assert _ending(result) == ending, result
+
+
+@then('request "{name}" is not in its executions')
+def then_not_executed(context, name):
+    assert name not in [e.request_id for e in context.machine.ledger.executions]
+
+
+@then('its executions are "{executions}"')
+def then_executions(context, executions):
+    log = context.machine.ledger.executions
+    found = " ".join(f"{e.request_id}:{e.progress.value}" for e in log)
+    assert found == executions, found
+
+
+@then('the load report of request "{name}" says "{state}"')
+def then_report(context, name, state):
+    report = context.results[name].headers[b"x-target-load"].decode()
+    assert f"state={state}," in report, report
+
+
+@then("it has fallen over {falls:d} times")
+def then_falls(context, falls):
+    assert context.machine.ledger.counters.fall_overs == falls
+
+
+@then("its highest concurrency while cold was {highest:d}")
+def then_highest(context, highest):
+    assert context.machine.ledger.counters.max_concurrency_cold == highest
+
+
+@then("it comes back cold with another boot id")
+def then_back_cold(context):
+    before = context.settings.boot_id
+    context.kernel.run(timers.sleep_until, now_ms() + context.settings.restart_ms + 50.0)
+    assert context.machine.boot_id != before
+    assert context.machine.state() == "cold"
+    assert _ending(context.kernel.run(lambda: _send(context, "z"))) == "200"
+
+
+@then("the last response comes after {least:g} ms to {most:g} ms")
+def then_elapsed(context, least, most):
+    assert least <= context.elapsed_ms <= most, context.elapsed_ms
+
+
+@then('its health says "{text}"')
+def then_health(context, text):
+    assert _health(context) == text
+
+
+@step('after {wait_ms:g} ms its health says "{text}"')
+def then_health_after(context, wait_ms, text):
+    context.kernel.run(timers.sleep_until, now_ms() + wait_ms)
+    assert _health(context) == text
+
+
+@then('its health says "{text}" when it is told to mislead')
+def then_health_misleads(context, text):
+    _fault(context, "mislead", health=text)
+    assert _health(context) == text
