--- /dev/null
+++ b/standins/cluster.py
@@ -0,0 +1,152 @@
+"""A whole deployment on loopback: platform stand-in, targets and entries as processes."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from pathlib import Path
+
+import curio
+from msgspec import Struct
+
+from kingcupusher._core.address import Address
+from standins.platform.client import PlatformControl
+from standins.platform.vms import Vm
+from standins.processes import ManagedProcess, ProcessError, ProcessGroup
+from standins.target.client import TargetControl
+from standins.target.control import Status
+
+COMMAND_TIMEOUT_S = 15.0
+# VMs of entries are listed under this name, which is no service.
+ENTRY_SERVICE = "kingcupusher"
+
+
+class PlatformNode(Struct, frozen=True):
+    """The platform stand-in with its two ports."""
+
+    process: ManagedProcess
+    address: Address
+    control: PlatformControl
+
+
+class TargetNode(Struct, frozen=True):
+    """One target as the VM list shows it, with its control port."""
+
+    process: ManagedProcess
+    vm: Vm
+    address: Address
+    control: TargetControl
+
+
+class EntryNode(Struct, frozen=True):
+    """One entry with its three ports."""
+
+    process: ManagedProcess
+    vm_id: str
+    zone: str
+    caller: Address
+    peer: Address
+    admin: Address
+
+
+class Cluster:
+    """Starts the processes of a deployment in a process group and finds them again by role."""
+
+    __slots__ = ("entries", "group", "platform", "targets", "zones")
+
+    def __init__(self, group: ProcessGroup, *, zones: Sequence[str]) -> None:
+        self.group = group
+        self.zones = list(zones)
+        self.targets: list[TargetNode] = []
+        self.entries: list[EntryNode] = []
+        self.platform = self._start_platform()
+
+    def _start_platform(self) -> PlatformNode:
+        address = self.group.addresses.take()
+        control = self.group.addresses.take()
+        ports = ("--port", str(address.port), "--control-port", str(control.port))
+        process = self.group.start_module("platform", "standins.platform", *ports)
+        process.wait_ready(control)
+        return PlatformNode(process, address, PlatformControl(control))
+
+    def start_targets(self, service: str, count: int, *options: str) -> None:
+        """Start targets of one service, spread over the zones, without waiting for them."""
+        for index in range(count):
+            zone = self.zones[index % len(self.zones)]
+            self.targets.append(self._start_target(f"{service}-{index}", zone, service, options))
+
+    def _start_target(
+        self, vm_id: str, zone: str, service: str, options: tuple[str, ...]
+    ) -> TargetNode:
+        address = self.group.addresses.take()
+        control = self.group.addresses.take()
+        where = ("--address", str(address), "--control", str(control))
+        process = self.group.start_module(vm_id, "standins.target", *where, *options)
+        vm = Vm(vm_id, zone, service, str(address))
+        return TargetNode(process, vm, address, TargetControl(control))
+
+    def start_entries(self, count: int, *options: str) -> None:
+        """Start entries, spread over the zones, without waiting for them."""
+        for index in range(count):
+            zone = self.zones[index % len(self.zones)]
+            self.entries.append(self._start_entry(f"entry-{index}", zone, options))
+
+    def _start_entry(self, vm_id: str, zone: str, options: tuple[str, ...]) -> EntryNode:
+        caller, peer, admin = (self.group.addresses.take() for _ in range(3))
+        flags = {
+            "--vm-id": vm_id,
+            "--zone": zone,
+            "--caller-address": str(caller),
+            "--peer-address": str(peer),
+            "--admin-address": str(admin),
+            "--platform": str(self.platform.address),
+        }
+        arguments = [part for flag in flags.items() for part in flag]
+        process = self.group.start_module(vm_id, "kingcupusher", "entry", *arguments, *options)
+        return EntryNode(process, vm_id, zone, caller, peer, admin)
+
+    def wait_targets(self) -> None:
+        """Wait until every target serves its control port."""
+        for target in self.targets:
+            target.process.wait_ready(target.control.address)
+
+    def wait_entries(self) -> None:
+        """Wait until every entry serves its administration port."""
+        for entry in self.entries:
+            entry.process.wait_ready(entry.admin)
+
+    def publish_vms(self) -> None:
+        """Put all targets and entries on the VM list."""
+        vms = [target.vm for target in self.targets]
+        vms += [Vm(e.vm_id, e.zone, ENTRY_SERVICE, str(e.caller)) for e in self.entries]
+        curio.run(self.platform.control.set_vms, vms)
+
+    def command(self, *arguments: str) -> str:
+        """Run a ``kingcupusher`` command against the platform and return its output."""
+        platform = ("--platform", str(self.platform.address))
+        process = self.group.start_module("command", "kingcupusher", *arguments, *platform)
+        status = process.wait(timeout_s=COMMAND_TIMEOUT_S)
+        if status:
+            text = " ".join(arguments)
+            raise ProcessError(f"kingcupusher {text} ended with {status}: {process.errors()}")
+        return process.output()
+
+    def publish(self, files: Sequence[Path]) -> None:
+        """Publish service files."""
+        self.command("publish", *map(str, files))
+
+    def targets_of(self, service: str) -> list[TargetNode]:
+        """Return the targets of a service."""
+        return [target for target in self.targets if target.vm.service == service]
+
+    def targets_in(self, zone: str) -> list[TargetNode]:
+        """Return the targets in a zone."""
+        return [target for target in self.targets if target.vm.zone == zone]
+
+    def statuses(self, targets: Sequence[TargetNode]) -> list[Status]:
+        """Return the status of each target, in order."""
+        found: list[Status] = curio.run(_statuses, [target.control for target in targets])
+        return found
+
+
+async def _statuses(controls: list[TargetControl]) -> list[Status]:
+    return [await control.status() for control in controls]
