--- a/src/kingcupusher/_membership/__init__.py
+++ b/src/kingcupusher/_membership/__init__.py
@@ -1,3 +1,34 @@
 """Target states, zone orders and the rules that allow a send."""
 
 from __future__ import annotations
+
+from kingcupusher._core.target_state import TargetState
+from kingcupusher._membership.confirmation import Confirmation
+from kingcupusher._membership.coordinator import CoordinatorRule
+from kingcupusher._membership.duties import Probe
+from kingcupusher._membership.errors import MembershipError, UnknownGroupError
+from kingcupusher._membership.groups import GROUPS, group_of
+from kingcupusher._membership.member import Membership, Outgoing
+from kingcupusher._membership.peers import EntryId
+from kingcupusher._membership.record import TargetRecord
+from kingcupusher._membership.rights import Denial, RightKind, SendRight
+from kingcupusher._membership.table import TargetTable
+
+__all__ = [
+    "GROUPS",
+    "Confirmation",
+    "CoordinatorRule",
+    "Denial",
+    "EntryId",
+    "Membership",
+    "MembershipError",
+    "Outgoing",
+    "Probe",
+    "RightKind",
+    "SendRight",
+    "TargetRecord",
+    "TargetState",
+    "TargetTable",
+    "UnknownGroupError",
+    "group_of",
+]
--- /dev/null
+++ b/src/kingcupusher/_membership/groups.py
@@ -0,0 +1,21 @@
+"""Division of the targets into groups with one coordinator each."""
+
+from __future__ import annotations
+
+from zlib import crc32
+
+from kingcupusher._membership.errors import UnknownGroupError
+
+GROUPS = 32
+
+
+def group_of(target_id: str) -> int:
+    """Return the group of a target; the same at every entry and in every process."""
+    return crc32(target_id.encode()) % GROUPS
+
+
+def check_group(group: int) -> int:
+    """Return ``group``; raise :class:`UnknownGroupError` if there is no such group."""
+    if not 0 <= group < GROUPS:
+        raise UnknownGroupError(f"group {group} does not exist; use 0 to {GROUPS - 1}")
+    return group
--- /dev/null
+++ b/src/kingcupusher/_membership/rights.py
@@ -0,0 +1,49 @@
+"""Answers to the question whether a target may get a request now."""
+
+from __future__ import annotations
+
+from enum import Enum
+from math import inf
+
+from msgspec import Struct
+
+
+class RightKind(Enum):
+    """How far a target may be used."""
+
+    OPEN = "open"
+    RAMP = "ramp"
+    DENIED = "denied"
+
+
+class Denial(Enum):
+    """Why a target may not be used."""
+
+    UNLISTED = "unlisted"
+    ZONE_OUT = "zone out"
+    UNCONFIRMED = "unconfirmed"
+    LEAVING = "leaving"
+    CLOSED = "closed"
+    EXPIRED = "grant and evidence expired"
+
+
+class SendRight(Struct, frozen=True):
+    """A right to send, valid before ``until_ms``.
+
+    ``allowance`` is how many requests the target may have in flight from this entry; it is set
+    for a ramp only. The sender compares ``until_ms`` with the clock immediately before the write.
+    """
+
+    kind: RightKind
+    until_ms: float
+    allowance: int | None = None
+    denial: Denial | None = None
+
+    def is_valid(self, *, now_ms: float) -> bool:
+        """Return whether a request may be written now."""
+        return self.kind is not RightKind.DENIED and now_ms < self.until_ms
+
+
+def denied(denial: Denial) -> SendRight:
+    """Return a refusal with its reason."""
+    return SendRight(RightKind.DENIED, -inf, denial=denial)
