Compose the entry process from its parts

The entry registers a seat under a lease, follows the key-value service with one watch, drives the membership every 25 ms, probes within budget, serves callers and the administration interface, and drains on SIGTERM. One watch over all keys was preferred to one for each prefix, because a waiting watch counts as a call.

--- /dev/null
+++ b/src/kingcupusher/_entry/directory.py
@@ -0,0 +1,340 @@
+"""The request path's view of services, targets and other entries."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection, Mapping
+from dataclasses import dataclass, field
+from random import Random
+
+from kingcupusher._config import ConfigDocument, Service
+from kingcupusher._core.address import Address
+from kingcupusher._entry.members import GroupKey, Member
+from kingcupusher._http.pool import ConnectionPool
+from kingcupusher._limits import RetryBudget, connection_share
+from kingcupusher._membership import RightKind, TargetTable, group_of
+from kingcupusher._platform import VmRecord
+from kingcupusher._proxy import (
+    AbandonedEvent,
+    FailureEvent,
+    NotSentEvent,
+    RefusalEvent,
+    ResetEvent,
+    ResponseEvent,
+    TargetEvent,
+)
+from kingcupusher._routing import ServiceRouter, Target, UnknownTargetError
+
+# Rights are looked up again after this time; each send checks its right exactly before the write.
+RIGHTS_CACHE_MS = 10.0
+RETRY_FLOOR_PER_S = 1.0
+HANDOFF_CONNECTIONS = 32
+FIRST_SERVER_ERROR = 500
+
+
+@dataclass(slots=True)
+class ServiceState:
+    """Routing state of one service."""
+
+    service: Service
+    router: ServiceRouter
+    budget: RetryBudget
+    target_ids: list[str] = field(default_factory=list)
+    open_ids: frozenset[str] = frozenset()
+    ramp_ids: tuple[str, ...] = ()
+    cache_until_ms: float = float("-inf")
+
+
+class EntryDirectory:
+    """Implements the directory protocol of the request path over the membership table.
+
+    Calls are immediate and run in the task of the request, because a message and its answer
+    would cost more than the choice itself.
+    """
+
+    def __init__(self, table: TargetTable, *, seat: int, policy: str, rng: Random) -> None:
+        self._table = table
+        self._seat = seat
+        self._policy = policy
+        self._rng = rng
+        self._max_entries = 1
+        self._services: dict[str, ServiceState] = {}
+        self._by_host: dict[bytes, Service] = {}
+        self._vms: dict[str, VmRecord] = {}
+        self._pools: dict[str, ConnectionPool] = {}
+        self._handoff_pools: dict[Address, ConnectionPool] = {}
+        self._retired: list[ConnectionPool] = []
+        self._members: Mapping[int, Member] = {}
+        self._groups: Mapping[int, GroupKey] = {}
+        self.in_flight = 0
+
+    # -- changes
+
+    def on_config(self, document: ConfigDocument) -> None:
+        """Take over services and the number of entries among which connections are divided."""
+        if document.max_entries != self._max_entries:
+            self._max_entries = document.max_entries
+            self._retire_pools(list(self._pools))
+        removed = self._services.keys() - document.services.keys()
+        for name in removed:
+            del self._services[name]
+        for service in document.services.values():
+            self._put_service(service)
+        self._by_host = {
+            host.lower().encode(): service
+            for service in document.services.values()
+            for host in service.hosts
+        }
+        self._sync_targets()
+
+    def on_vm_list(self, records: Collection[VmRecord]) -> None:
+        """Take over the addresses of the targets."""
+        vms = {record.vm_id: record for record in records if record.service in self._services}
+        moved = [i for i, vm in self._vms.items() if i in vms and vms[i].address != vm.address]
+        gone = [i for i in self._pools if i not in vms]
+        self._vms = vms
+        self._retire_pools([i for i in {*moved, *gone} if i in self._pools])
+        self._sync_targets()
+
+    def on_fleet(self, members: Mapping[int, Member], groups: Mapping[int, GroupKey]) -> None:
+        """Take over the registered entries and the coordinators."""
+        self._members = members
+        self._groups = groups
+
+    async def close_retired(self) -> None:
+        """Close pools that are no longer in use, and connections that were idle for too long."""
+        retired, self._retired = self._retired, []
+        for pool in retired:
+            await pool.close()
+        for pool in [*self._pools.values(), *self._handoff_pools.values()]:
+            await pool.close_idle()
+
+    async def close(self) -> None:
+        """Close all connections to targets and entries."""
+        self._retire_pools(list(self._pools))
+        self._retired += self._handoff_pools.values()
+        self._handoff_pools = {}
+        await self.close_retired()
+
+    # -- the directory protocol
+
+    def service_for(self, host: bytes) -> Service | None:
+        """Return the service that answers for the value of a ``Host`` header."""
+        return self._by_host.get(host)
+
+    def choose(self, service: Service, *, now_ms: float, exclude: Collection[str]) -> str | None:
+        """Return a target that may take one more request now and reserve a place at it."""
+        state = self._services.get(service.name)
+        if state is None:
+            return None
+        allowed = self._allowed(state, now_ms)
+        view = state.router.choose(now_ms=now_ms, allowed=allowed, exclude=exclude)
+        if view is None:
+            return None
+        state.router.on_sent(view.target_id, now_ms=now_ms)
+        self.in_flight += 1
+        return view.target_id
+
+    def may_send(self, target_id: str, *, now_ms: float) -> bool:
+        """Return whether work may be sent to ``target_id`` at this moment."""
+        right = self._table.send_right(target_id, now_ms=now_ms)
+        if right.kind is RightKind.OPEN:
+            return True
+        if right.kind is not RightKind.RAMP:
+            return False
+        vm = self._vms.get(target_id)
+        state = self._services.get(vm.service) if vm else None
+        if state is None:
+            return False
+        return state.router.view(target_id).in_flight <= (right.allowance or 0)
+
+    def pool(self, target_id: str) -> ConnectionPool:
+        """Return the connections of ``target_id``."""
+        pool = self._pools.get(target_id)
+        if pool is None:
+            vm = self._vms[target_id]
+            limits = self._services[vm.service].service.target
+            share = connection_share(limits.connections, max_entries=self._max_entries)
+            pool = ConnectionPool(vm.address, limit=max(1, share))
+            self._pools[target_id] = pool
+        return pool
+
+    def handoff(self, service: Service, *, now_ms: float) -> ConnectionPool | None:  # noqa: ARG002
+        """Return the connections of another entry that coordinates a target of ``service``."""
+        state = self._services.get(service.name)
+        if state is None:
+            return None
+        seats = sorted({s for s in map(self._coordinator_seat, state.target_ids) if s is not None})
+        if not seats:
+            return None
+        seat = seats[self._rng.randrange(len(seats))]
+        address = self._members[seat].caller
+        pool = self._handoff_pools.get(address)
+        if pool is None:
+            pool = ConnectionPool(address, limit=HANDOFF_CONNECTIONS)
+            self._handoff_pools[address] = pool
+        return pool
+
+    def retry_budget(self, service: Service) -> RetryBudget:
+        """Return the retry budget of ``service``."""
+        state = self._services.get(service.name)
+        return state.budget if state else _retry_budget(service)
+
+    def report(self, event: TargetEvent) -> None:
+        """Take note of what became of a request that was given to a target."""
+        self.in_flight -= 1
+        state = self._services.get(event.service)
+        if state is not None:
+            _note_at_router(state.router, event)
+        _TABLE_EFFECTS[type(event)](self._table, event)
+
+    # -- details
+
+    def in_flight_at(self, target_id: str) -> int:
+        """Return how many requests of this entry ``target_id`` holds."""
+        vm = self._vms.get(target_id)
+        state = self._services.get(vm.service) if vm else None
+        if state is None or target_id not in state.target_ids:
+            return 0
+        return state.router.view(target_id).in_flight
+
+    def address_of(self, target_id: str) -> Address | None:
+        """Return the address of a listed target."""
+        vm = self._vms.get(target_id)
+        return vm.address if vm else None
+
+    def _allowed(self, state: ServiceState, now_ms: float) -> Collection[str]:
+        if now_ms >= state.cache_until_ms:
+            self._refresh_rights(state, now_ms)
+        allowed = {i for i in state.open_ids if self._has_room(i)}
+        for target_id in state.ramp_ids:
+            right = self._table.send_right(target_id, now_ms=now_ms)
+            in_flight = state.router.view(target_id).in_flight
+            if right.kind is RightKind.RAMP and in_flight < (right.allowance or 0):
+                allowed.add(target_id)
+        return allowed
+
+    def _refresh_rights(self, state: ServiceState, now_ms: float) -> None:
+        open_ids = []
+        ramp_ids = []
+        for target_id in state.target_ids:
+            kind = self._table.send_right(target_id, now_ms=now_ms).kind
+            if kind is RightKind.OPEN:
+                open_ids.append(target_id)
+            elif kind is RightKind.RAMP:
+                ramp_ids.append(target_id)
+        state.open_ids = frozenset(open_ids)
+        state.ramp_ids = tuple(ramp_ids)
+        state.cache_until_ms = now_ms + RIGHTS_CACHE_MS
+
+    def _has_room(self, target_id: str) -> bool:
+        pool = self._pools.get(target_id)
+        return pool is None or pool.has_room
+
+    def _coordinator_seat(self, target_id: str) -> int | None:
+        key = self._groups.get(group_of(target_id))
+        if key is None or key.holder.seat == self._seat or key.holder.seat not in self._members:
+            return None
+        return key.holder.seat
+
+    def _put_service(self, service: Service) -> None:
+        state = self._services.get(service.name)
+        if state is None:
+            router = ServiceRouter(
+                service.name,
+                policy=self._policy,
+                seat=self._seat,
+                seats=self._max_entries,
+                rng=self._rng,
+            )
+            self._services[service.name] = ServiceState(service, router, _retry_budget(service))
+            return
+        if state.service.request != service.request:
+            state.budget = _retry_budget(service)
+        if state.service.target != service.target:
+            self._retire_pools([i for i in state.target_ids if i in self._pools])
+        state.service = service
+
+    def _sync_targets(self) -> None:
+        for name, state in self._services.items():
+            vms = [vm for vm in self._vms.values() if vm.service == name]
+            slots = state.service.target.slots
+            state.router.sync(Target(vm.vm_id, vm.zone, slots) for vm in vms)
+            state.target_ids = [vm.vm_id for vm in vms]
+            state.cache_until_ms = float("-inf")
+
+    def _retire_pools(self, target_ids: Collection[str]) -> None:
+        self._retired += [self._pools.pop(target_id) for target_id in target_ids]
+
+
+def _retry_budget(service: Service) -> RetryBudget:
+    return RetryBudget(percent=service.request.retry_percent, floor_per_s=RETRY_FLOOR_PER_S)
+
+
+def _note_at_router(router: ServiceRouter, event: TargetEvent) -> None:
+    try:
+        _ROUTER_EFFECTS[type(event)](router, event)
+    except UnknownTargetError:
+        # The service was removed and published again while the request was in flight.
+        return
+
+
+def _sent_ms(event: TargetEvent) -> float:
+    return event.at_ms - event.elapsed_ms
+
+
+def _route_response(router: ServiceRouter, event: TargetEvent) -> None:
+    assert isinstance(event, ResponseEvent)
+    if event.status >= FIRST_SERVER_ERROR:
+        _route_failure(router, event)
+        return
+    router.on_response(
+        event.target_id, now_ms=event.at_ms, elapsed_ms=event.elapsed_ms, report=event.load
+    )
+
+
+def _route_failure(router: ServiceRouter, event: TargetEvent) -> None:
+    router.on_failure(event.target_id, now_ms=event.at_ms, elapsed_ms=event.elapsed_ms)
+
+
+def _route_cancel(router: ServiceRouter, event: TargetEvent) -> None:
+    router.on_cancel(event.target_id)
+
+
+def _note_response(table: TargetTable, event: TargetEvent) -> None:
+    sent_ms = _sent_ms(event)
+    table.on_response(event.target_id, event.load, sent_ms=sent_ms, now_ms=event.at_ms)
+
+
+def _note_refusal(table: TargetTable, event: TargetEvent) -> None:
+    sent_ms = _sent_ms(event)
+    table.on_refusal(event.target_id, event.load, sent_ms=sent_ms, now_ms=event.at_ms)
+
+
+def _note_reset(table: TargetTable, event: TargetEvent) -> None:
+    table.on_reset(event.target_id, sent_ms=_sent_ms(event), now_ms=event.at_ms)
+
+
+def _note_failure(table: TargetTable, event: TargetEvent) -> None:
+    table.on_failure(event.target_id, now_ms=event.at_ms)
+
+
+def _note_nothing(_table: TargetTable, _event: TargetEvent) -> None:
+    """Leave the table as it is: the target is not the cause."""
+
+
+_ROUTER_EFFECTS: dict[type[TargetEvent], Callable[[ServiceRouter, TargetEvent], None]] = {
+    ResponseEvent: _route_response,
+    RefusalEvent: _route_failure,
+    ResetEvent: _route_failure,
+    FailureEvent: _route_failure,
+    NotSentEvent: _route_cancel,
+    AbandonedEvent: _route_cancel,
+}
+_TABLE_EFFECTS: dict[type[TargetEvent], Callable[[TargetTable, TargetEvent], None]] = {
+    ResponseEvent: _note_response,
+    RefusalEvent: _note_refusal,
+    ResetEvent: _note_reset,
+    FailureEvent: _note_failure,
+    NotSentEvent: _note_nothing,
+    AbandonedEvent: _note_nothing,
+}
--- /dev/null
+++ b/src/kingcupusher/_entry/driver.py
@@ -0,0 +1,88 @@
+"""The task that drives the membership of an entry with time and peer messages."""
+
+from __future__ import annotations
+
+import curio
+
+from kingcupusher._config import decode_document, encode_document
+from kingcupusher._config.errors import ConfigError
+from kingcupusher._core import now_ms
+from kingcupusher._entry.holder import ConfigHolder
+from kingcupusher._membership import EntryId, Membership
+from kingcupusher._peers import (
+    ConfigReply,
+    ConfigRequest,
+    PeerConnected,
+    PeerDisconnected,
+    PeerHub,
+    PeerMessage,
+)
+
+# Bounds the delay of a notice; far below the 1 s in which news must reach all entries.
+TICK_S = 0.025
+
+
+class MembershipDriver:
+    """Feeds a membership from its hub and sends what it wants to say."""
+
+    def __init__(self, membership: Membership, hub: PeerHub, config: ConfigHolder) -> None:
+        self.membership = membership
+        self.hub = hub
+        self._config = config
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(self.hub.run)
+            await group.spawn(self._receive)
+            await group.spawn(self._tick)
+
+    async def flush(self) -> None:
+        """Send the messages that the membership has composed."""
+        for outgoing in self.membership.take_outgoing():
+            if outgoing.seat is None:
+                await self.hub.broadcast(outgoing.message)
+            else:
+                await self.hub.send(outgoing.seat, outgoing.message)
+
+    async def _tick(self) -> None:
+        while True:
+            self.membership.tick(now_ms=now_ms())
+            await self.flush()
+            await curio.sleep(TICK_S)
+
+    async def _receive(self) -> None:
+        while True:
+            event = await self.hub.inbound.get()
+            if isinstance(event, PeerMessage):
+                await self._on_message(event)
+            elif isinstance(event, PeerConnected):
+                identity = EntryId(event.peer.seat, event.peer.boot_id)
+                self.membership.on_peer_connected(identity, now_ms=now_ms())
+            elif isinstance(event, PeerDisconnected):
+                identity = EntryId(event.peer.seat, event.peer.boot_id)
+                self.membership.on_peer_disconnected(identity)
+            await self.flush()
+
+    async def _on_message(self, event: PeerMessage) -> None:
+        message = event.message
+        if isinstance(message, ConfigRequest):
+            await self._send_config(event.peer.seat, message.version)
+        elif isinstance(message, ConfigReply):
+            self._take_config(message)
+        else:
+            identity = EntryId(event.peer.seat, event.peer.boot_id)
+            self.membership.on_message(identity, message, now_ms=now_ms())
+
+    async def _send_config(self, seat: int, version: int) -> None:
+        document = self._config.document
+        if document.version >= version:
+            reply = ConfigReply(document.version, encode_document(document))
+            await self.hub.send(seat, reply)
+
+    def _take_config(self, reply: ConfigReply) -> None:
+        try:
+            document = decode_document(reply.document)
+        except ConfigError:
+            return
+        self._config.offer(document)
--- /dev/null
+++ b/src/kingcupusher/_entry/prober.py
@@ -0,0 +1,53 @@
+"""The task that sends health probes within the budget of each target."""
+
+from __future__ import annotations
+
+import curio
+
+from kingcupusher._core import now_ms
+from kingcupusher._entry.directory import EntryDirectory
+from kingcupusher._http.errors import HttpError
+from kingcupusher._http.exchange import fetch
+from kingcupusher._membership import Membership, Probe
+from kingcupusher._proxy.load_report import parse_load_report
+
+TICK_S = 0.1
+PROBE_TIMEOUT_MS = 1_000.0
+PROBE_PATH = "/health"
+LOAD_HEADER = b"x-target-load"
+
+
+class Prober:
+    """Sends the probes that the membership allows."""
+
+    def __init__(self, membership: Membership, directory: EntryDirectory) -> None:
+        self._membership = membership
+        self._directory = directory
+        self.sent = 0
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        while True:
+            for probe in self._membership.table.take_probes(now_ms=now_ms()):
+                await curio.spawn(self._probe, probe, daemon=True)
+            await curio.sleep(TICK_S)
+
+    async def _probe(self, probe: Probe) -> None:
+        address = self._directory.address_of(probe.target_id)
+        if address is None:
+            return
+        sent_ms = now_ms()
+        # The right to probe may end while the connection opens; ``fetch`` checks this deadline
+        # last, directly before it writes.
+        deadline_ms = min(probe.until_ms, sent_ms + PROBE_TIMEOUT_MS)
+        self.sent += 1
+        try:
+            response = await fetch(address, "GET", PROBE_PATH, deadline_ms=deadline_ms)
+        except HttpError:
+            return
+        value = next((v for name, v in response.headers if name == LOAD_HEADER), None)
+        report = parse_load_report(value) if value is not None else None
+        if report is not None:
+            self._membership.table.on_probe_response(
+                probe.target_id, report, sent_ms=sent_ms, now_ms=now_ms()
+            )
--- /dev/null
+++ b/src/kingcupusher/_entry/process.py
@@ -0,0 +1,131 @@
+"""The entry process: its tasks, its drain and its end."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Callable, Coroutine
+from functools import partial
+from typing import Any
+
+import curio
+import logbook
+
+from kingcupusher._admin import AdminApi
+from kingcupusher._core import KingcupusherError, now_ms
+from kingcupusher._entry.assembly import assemble, vm_listener
+from kingcupusher._entry.control import Control
+from kingcupusher._entry.parts import EntryParts
+from kingcupusher._entry.vm_reader import read_vm_list
+from kingcupusher._http.service import serve
+from kingcupusher._observe.logs import JsonHandler
+from kingcupusher._platform import VmListClient
+from kingcupusher._proxy import Proxy
+from kingcupusher._settings import EntrySettings
+
+# The balancer sees the entry as not ready before the entry stops accepting.
+BALANCER_NOTICE_S = 1.0
+DRAIN_POLL_S = 0.05
+UPKEEP_S = 1.0
+EXIT_FAILURE = 1
+
+Task = Callable[[], Coroutine[Any, Any, None]]
+
+log = logbook.Logger("entry")
+
+
+def run_entry(settings: EntrySettings) -> int:
+    """Run one entry until it is drained; return the exit status."""
+    handler = JsonHandler(settings.log_level, vm=settings.vm_id, zone=settings.zone)
+    with handler.applicationbound():
+        try:
+            curio.run(_run, settings)
+        except (KingcupusherError, curio.TaskGroupError, OSError) as error:
+            log.error("entry failed", error=str(error))
+            return EXIT_FAILURE
+        log.info("entry ended")
+        return 0
+
+
+async def _run(settings: EntrySettings) -> None:
+    stop = curio.UniversalEvent()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop.set())
+    parts = await _assemble_unless_stopped(settings, stop)
+    if parts is None:
+        return
+    control = Control(parts)
+    proxy = Proxy(parts.directory)
+    async with curio.TaskGroup(wait=any) as group:
+        for task in _tasks(parts, control, proxy):
+            await group.spawn(task)
+        await group.spawn(_drain_when_asked, parts, control, proxy, stop)
+    await group.join()
+    if group.completed is not None and group.completed.exception:
+        raise group.completed.exception
+
+
+async def _assemble_unless_stopped(
+    settings: EntrySettings, stop: curio.UniversalEvent
+) -> EntryParts | None:
+    async with curio.TaskGroup(wait=any) as group:
+        assembling = await group.spawn(assemble, settings)
+        await group.spawn(stop.wait)
+    if assembling.exception is None:
+        parts: EntryParts = assembling.result
+        return parts
+    if isinstance(assembling.exception, curio.TaskCancelled):
+        return None
+    raise assembling.exception
+
+
+def _tasks(parts: EntryParts, control: Control, proxy: Proxy) -> list[Task]:
+    settings = parts.settings
+    api = AdminApi(control, token=settings.admin_token)
+    vm_list = VmListClient(settings.platform)
+    return [
+        parts.driver.run,
+        parts.follower.run,
+        parts.registration.run,
+        parts.prober.run,
+        partial(read_vm_list, vm_list, partial(vm_listener, parts)),
+        partial(serve, settings.admin_address, api.handle),
+        partial(_serve_callers, proxy, settings),
+        partial(_upkeep, parts),
+    ]
+
+
+async def _serve_callers(proxy: Proxy, settings: EntrySettings) -> None:
+    await proxy.serve(settings.caller_address)
+    # The drain ends the process; the other tasks must go on until it has released the seat.
+    await curio.Event().wait()
+
+
+async def _upkeep(parts: EntryParts) -> None:
+    """Keep peers and idle connections up to date."""
+    known: dict[int, object] = {}
+    while True:
+        own = parts.seat.member.seat
+        peers = {s: m.peer for s, m in parts.follower.members.items() if s != own}
+        if peers != known:
+            await parts.hub.set_peers(peers)
+            known = dict(peers)
+        await parts.directory.close_retired()
+        await curio.sleep(UPKEEP_S)
+
+
+async def _drain_when_asked(
+    parts: EntryParts, control: Control, proxy: Proxy, stop: curio.UniversalEvent
+) -> None:
+    """Wait for a signal or an order to drain, then finish the requests in flight."""
+    while not stop.is_set() and not control.is_draining:
+        await curio.ignore_after(DRAIN_POLL_S * 4, stop.wait)
+    log.notice("draining", requests_in_flight=parts.directory.in_flight)
+    control.start_drain()
+    await parts.registration.release()
+    await curio.sleep(BALANCER_NOTICE_S)
+    deadline_ms = now_ms() + parts.settings.drain_timeout_ms
+    await proxy.drain(deadline_ms=deadline_ms)
+    while parts.directory.in_flight and now_ms() < deadline_ms:
+        await curio.sleep(DRAIN_POLL_S)
+    await parts.registration.leave()
+    await parts.directory.close()
--- a/src/kingcupusher/_http/exchange.py
+++ b/src/kingcupusher/_http/exchange.py
@@ -85,6 +85,9 @@
         data += connection.send(h11.Data(data=body)) or b""
     data += connection.send(h11.EndOfMessage()) or b""
     try:
+        # A pause while the connection opened must not turn an expired right into a request.
+        if now_ms() >= deadline_ms:
+            raise ConnectError(f"{method} {path} at {address} was not sent before its deadline")
         async with curio.timeout_after(_remaining_s(deadline_ms)):
             await sock.sendall(data)
             return await _receive(sock, connection)
--- a/src/kingcupusher/_routing/router.py
+++ b/src/kingcupusher/_routing/router.py
@@ -79,6 +79,10 @@
         view = self._finish(target_id, elapsed_ms)
         view.report_deadline_ms = now_ms
 
+    def on_cancel(self, target_id: str) -> None:
+        """Note a request that ended for a reason that says nothing about the target."""
+        self.view(target_id).in_flight -= 1
+
     def _finish(self, target_id: str, elapsed_ms: float) -> TargetView:
         view = self.view(target_id)
         view.in_flight -= 1
