Add the benchmark on real processes

The goals of the design page need a measurement that fails when one is missed.

Cases are a registry: added latency (the same plan straight to targets and through one entry at the same time, on targets of their own), tail latency at three utilisations with 3 and 15 entries, and a zone move. The references are computed from the same plan, since the load tool asks for each service time by header. 50 ms of service time give 720 requests/s at full capacity; 10 ms would need five times the CPU for the same queueing. Bounds are a registry that cites the section of the page.

--- /dev/null
+++ b/bench/result.py
@@ -0,0 +1,26 @@
+"""Results of the benchmark, one JSON object a line."""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+
+class BenchResult(Struct, kw_only=True):
+    """One measurement; a figure that the case does not measure is null."""
+
+    case: str
+    seed: int
+    policy: str
+    entries: int
+    utilisation: float | None = None
+    p50_ms: float | None = None
+    p99_ms: float | None = None
+    p999_ms: float | None = None
+    ratio_to_ideal: float | None = None
+    ratio_to_random: float | None = None
+    probes_per_target_s: float | None = None
+    control_bytes_per_s: float | None = None
+    cpu_us_per_request: float | None = None
+    errors: int | None = None
+    duplicates: int | None = None
+    new_work_after_zone_out: int | None = None
--- /dev/null
+++ b/bench/usage.py
@@ -0,0 +1,19 @@
+"""CPU time of a process."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+US_PER_S = 1_000_000
+# Fields of /proc/PID/stat after the command name, which is in parentheses and may hold spaces.
+USER_TICKS = 11
+SYSTEM_TICKS = 12
+
+
+def cpu_us(pid: int) -> float:
+    """Return the user and system CPU time that a process has used, in microseconds."""
+    text = Path(f"/proc/{pid}/stat").read_text(encoding="ascii")
+    fields = text.rpartition(")")[2].split()
+    ticks = int(fields[USER_TICKS]) + int(fields[SYSTEM_TICKS])
+    return ticks * US_PER_S / os.sysconf("SC_CLK_TCK")
--- a/demo/scenario.py
+++ b/demo/scenario.py
@@ -14,7 +14,7 @@
 from standins.load.plan import PlanSettings
 from standins.load.process import LoadOptions, LoadProcess, LoadResult
 from standins.load.summary import Executions, Summary
-from standins.processes import ProcessError, ProcessGroup
+from standins.processes import ProcessGroup
 
 EXAMPLES = Path(__file__).resolve().parent.parent / "examples" / "lagos"
 ZONES = ("lagos-a", "lagos-b", "lagos-c")
@@ -22,7 +22,6 @@
 ENTRIES = 3
 
 WARM_TIMEOUT_S = 20.0
-WARM_POLL_S = 0.25
 # The targets warm faster than their service files promise, so that the run stays short.
 TARGET_OPTIONS = ("--warmup-ms", "300")
 
@@ -130,21 +129,20 @@
 
 def _warm_up(cluster: Cluster, services: Sequence[Service]) -> None:
     _say("warming the targets with a light load")
-    deadline_s = time.monotonic() + WARM_TIMEOUT_S
     loads = [
         _start_load(cluster, service, workload, WARM_TIMEOUT_S, seed_offset=WARM_SEED_OFFSET)
         for service, workload in zip(services, WORKLOADS, strict=True)
     ]
-    while not _all_warm(cluster):
-        if time.monotonic() > deadline_s:
-            raise ProcessError(f"not all targets were warm after {WARM_TIMEOUT_S:g} s")
-        time.sleep(WARM_POLL_S)
+    cluster.wait_until(
+        "all targets are warm and open", lambda: _all_warm(cluster), timeout_s=WARM_TIMEOUT_S
+    )
     for load in loads:
         load.stop()
 
 
 def _all_warm(cluster: Cluster) -> bool:
-    return all(status.state == "warm" for status in cluster.statuses(cluster.targets))
+    warm = all(status.state == "warm" for status in cluster.statuses(cluster.targets))
+    return warm and cluster.all_open(cluster.targets)
 
 
 def _start_load(
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -2,20 +2,24 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+import time
+from collections.abc import Callable, Sequence
 from pathlib import Path
 
 import curio
 from msgspec import Struct
 
+from kingcupusher._admin import StatusReport
 from kingcupusher._core.address import Address
+from standins.entry_admin import EntryAdmin
 from standins.platform.client import PlatformControl
 from standins.platform.vms import Vm
-from standins.processes import ManagedProcess, ProcessError, ProcessGroup
+from standins.processes import READY_TIMEOUT_S, ManagedProcess, ProcessError, ProcessGroup
 from standins.target.client import TargetControl
 from standins.target.control import Status
 
 COMMAND_TIMEOUT_S = 15.0
+POLL_S = 0.1
 # VMs of entries are listed under this name, which is no service.
 ENTRY_SERVICE = "kingcupusher"
 
@@ -45,7 +49,7 @@
     zone: str
     caller: Address
     peer: Address
-    admin: Address
+    admin: EntryAdmin
 
 
 class Cluster:
@@ -102,7 +106,7 @@
         }
         arguments = [part for flag in flags.items() for part in flag]
         process = self.group.start_module(vm_id, "kingcupusher", "entry", *arguments, *options)
-        return EntryNode(process, vm_id, zone, caller, peer, admin)
+        return EntryNode(process, vm_id, zone, caller, peer, EntryAdmin(admin))
 
     def wait_targets(self) -> None:
         """Wait until every target serves its control port."""
@@ -110,9 +114,23 @@
             target.process.wait_ready(target.control.address)
 
     def wait_entries(self) -> None:
-        """Wait until every entry serves its administration port."""
+        """Wait until every entry reports itself ready."""
         for entry in self.entries:
-            entry.process.wait_ready(entry.admin)
+            entry.process.wait_ready(entry.admin.address)
+        self.wait_until("all entries are ready", self._entries_ready)
+
+    def _entries_ready(self) -> bool:
+        return all(curio.run(entry.admin.is_ready) for entry in self.entries)
+
+    def wait_until(
+        self, what: str, condition: Callable[[], bool], *, timeout_s: float = READY_TIMEOUT_S
+    ) -> None:
+        """Wait until ``condition`` holds; raise :class:`ProcessError` if it does not in time."""
+        give_up_s = time.monotonic() + timeout_s
+        while not condition():
+            if time.monotonic() > give_up_s:
+                raise ProcessError(f"not within {timeout_s:g} s: {what}")
+            time.sleep(POLL_S)
 
     def publish_vms(self) -> None:
         """Put all targets and entries on the VM list."""
@@ -142,11 +160,24 @@
         """Return the targets in a zone."""
         return [target for target in self.targets if target.vm.zone == zone]
 
+    def entry_statuses(self) -> list[StatusReport]:
+        """Return the state of each entry."""
+        return [curio.run(entry.admin.status) for entry in self.entries]
+
+    def all_open(self, targets: Sequence[TargetNode]) -> bool:
+        """Return whether every entry sees all of ``targets`` as open."""
+        names = {target.vm.vm_id for target in targets}
+        return all(names <= _open_targets(status) for status in self.entry_statuses())
+
     def statuses(self, targets: Sequence[TargetNode]) -> list[Status]:
         """Return the status of each target, in order."""
         found: list[Status] = curio.run(_statuses, [target.control for target in targets])
         return found
 
 
+def _open_targets(status: StatusReport) -> set[str]:
+    return {target.target_id for target in status.targets if target.state == "open"}
+
+
 async def _statuses(controls: list[TargetControl]) -> list[Status]:
     return [await control.status() for control in controls]
--- /dev/null
+++ b/testing/features/bench.feature
@@ -0,0 +1,42 @@
+Feature: The benchmark compares with references that are computed correctly
+  A wrong reference or a bound that never breaks would hide a slow product.
+
+  Scenario Outline: A single queue places each request on the slot that is free first
+    Given requests that arrive at <arrivals> ms and take <services> ms
+    When they go through one queue in front of <slots> slots
+    Then their latencies are <latencies> ms
+
+    Examples:
+      | arrivals | services | slots | latencies |
+      | 0 1 2    | 10 10 10 | 1     | 10 19 28  |
+      | 0 1 2    | 10 10 10 | 3     | 10 10 10  |
+      | 0 0 1    | 10 2 5   | 2     | 10 2 6    |
+      | 0 50     | 10 10    | 1     | 10 10     |
+
+  Scenario: The single queue matches the Erlang C formula
+    Given 200000 requests with exponential service times at 60 % of 4 slots
+    When they go through one queue in front of 4 slots
+    Then their mean waiting time is that of the Erlang C formula within 10 %
+
+  Scenario: Random placement over one target is the single queue
+    Given 1000 requests with exponential service times at 60 % of 4 slots
+    When they go through one queue in front of 4 slots
+    Then random placement over 1 target of 4 slots gives the same latencies
+
+  Scenario Outline: A bound breaks when its figure is beyond it
+    Given a result of case <case> with <field> <value>
+    Then <broken> bounds are broken
+
+    Examples:
+      | case         | field                   | value | broken |
+      | tail         | ratio_to_ideal          | 1.15  | 0      |
+      | tail         | ratio_to_ideal          | 1.16  | 1      |
+      | added-200/s  | p99_ms                  | 0.52  | 0      |
+      | added-200/s  | p99_ms                  | 0.53  | 1      |
+      | direct-200/s | p99_ms                  | 9.0   | 0      |
+      | zone         | new_work_after_zone_out | 0     | 0      |
+      | zone         | new_work_after_zone_out | 1     | 1      |
+      | zone         | duplicates              | 1     | 1      |
+      | zone         | errors                  | 1     | 1      |
+      | tail         | control_bytes_per_s     | 6001  | 1      |
+      | tail         | probes_per_target_s     | 0.5   | 1      |
