Check the request path with generated traffic

Cause: the promises of the request path (whole and own responses, at most one write, certain not-run, unchanged requests, refused length conflicts) were not checked.

Changed with it: connect timeouts are reported as slow rather than as resets; a full pool sends the request back to its queue; a refusal whose body is already here leaves its connection reusable; connections that the system has accepted before a drain are served; at most 16 KiB is given to h11 at a time, because it checks the size of a head only between pieces; HTTP/1.0 callers get no trailers, which h11 refuses to write.

Ruled out: surplus bytes that come after the next request was written on the same connection. They cannot be told from its response; the generated surplus comes before the connection is used again.

Conclusion: the promises hold for the generated traffic.

--- a/src/kingcupusher/_http/client_connection.py
+++ b/src/kingcupusher/_http/client_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from contextlib import suppress
 from typing import Any
 
 import curio
@@ -10,7 +11,12 @@
 
 from kingcupusher._core import now_ms
 from kingcupusher._core.address import Address
-from kingcupusher._http.errors import ConnectError, ExchangeError, ResetError
+from kingcupusher._http.errors import (
+    ConnectError,
+    ConnectTimeoutError,
+    ExchangeError,
+    ResetError,
+)
 
 READ_BYTES = 65_536
 END = h11.EndOfMessage()
@@ -40,7 +46,7 @@
                 await sock.connect((address.host, address.port))
         except curio.TaskTimeout:
             await sock.close()
-            raise ConnectError(f"connecting to {address} took longer than its deadline") from None
+            raise ConnectTimeoutError(f"{address} did not accept a connection in time") from None
         except OSError as error:
             await sock.close()
             raise ConnectError(f"cannot connect to {address}: {error}") from error
@@ -85,6 +91,12 @@
         except OSError as error:
             raise ResetError(f"{self.address} reset the connection: {error}") from error
 
+    def skip_received_body(self) -> None:
+        """Read past the body bytes that are already here, so that the connection can be reused."""
+        with suppress(ExchangeError):
+            while type(self.next_event()) is h11.Data:
+                continue
+
     def is_complete(self) -> bool:
         """Whether the exchange ended cleanly, so that another may follow."""
         http = self._http
--- a/src/kingcupusher/_http/errors.py
+++ b/src/kingcupusher/_http/errors.py
@@ -13,6 +13,10 @@
     """Raised when no connection could be opened, so that nothing was sent."""
 
 
+class ConnectTimeoutError(ConnectError):
+    """Raised when a connection was not opened in time."""
+
+
 class PoolLimitError(ConnectError):
     """Raised when a pool already holds as many open connections as it may."""
 
--- a/src/kingcupusher/_http/listener.py
+++ b/src/kingcupusher/_http/listener.py
@@ -4,6 +4,7 @@
 
 import socket
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 import curio
 
@@ -63,6 +64,7 @@
         try:
             await self._stopping.wait()
             await accepting.cancel()
+            await self._accept_waiting()
             await self._sock.close()
             await self._finish_connections()
         finally:
@@ -73,11 +75,22 @@
     async def _accept(self) -> None:
         while True:
             sock, _ = await self._sock.accept()
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            await curio.spawn(self._serve, sock, daemon=True)
+            await self._start(sock)
+
+    async def _accept_waiting(self) -> None:
+        """Accept what the system already holds; closing the listener would reset it."""
+        with suppress(BlockingIOError):
+            while True:
+                sock, _ = self._sock._socket.accept()
+                await self._start(curio.io.Socket(sock))
+
+    async def _start(self, sock: curio.io.Socket) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        await curio.spawn(self._serve, sock, daemon=True)
 
     async def _serve(self, sock: curio.io.Socket) -> None:
         connection = ServerConnection(sock, limits=self._limits)
+        connection.stop_requested = self._stopping.is_set()
         self._connections[connection] = await curio.current_task()
         reader = await curio.spawn(connection.read_socket, daemon=True)
         try:
--- a/src/kingcupusher/_http/server_connection.py
+++ b/src/kingcupusher/_http/server_connection.py
@@ -46,6 +46,7 @@
         "_has_input",
         "_has_room",
         "_http",
+        "_is_reader_waiting",
         "_limits",
         "_pending",
         "_pending_since_ms",
@@ -67,6 +68,7 @@
         self._has_input = curio.Event()
         self._has_room = curio.Event()
         self._gone = False
+        self._is_reader_waiting = False
         self.received_ms = self._pending_since_ms
         self.on_gone: Callable[[], Awaitable[None]] | None = None
         self.close_after_response = False
@@ -88,7 +90,9 @@
             await self._has_input.set()
             if len(self._pending) >= MAX_PENDING_BYTES:
                 self._has_room.clear()
+                self._is_reader_waiting = True
                 await self._has_room.wait()
+                self._is_reader_waiting = False
         self._gone = True
         await self._has_input.set()
         if self.on_gone is not None:
@@ -108,8 +112,10 @@
         """
         if self._http.our_state is h11.DONE:
             self._http.start_next_cycle()
+        limits = self._limits
         self.is_idle = not self._http.trailing_data[0]
-        self.deadline_ms = now_ms() + self._limits.idle_timeout_ms
+        wait_ms = limits.idle_timeout_ms if self.is_idle else limits.head_timeout_ms
+        self.deadline_ms = now_ms() + wait_ms
         while True:
             event = self._next_event()
             if type(event) is h11.Request:
@@ -142,11 +148,12 @@
         return True
 
     async def _feed(self) -> None:
+        """Give h11 at most ``READ_BYTES``: it checks the size of a head only between pieces."""
         self.received_ms = self._pending_since_ms
-        data = bytes(self._pending)
-        self._pending.clear()
+        data = bytes(self._pending[:READ_BYTES])
+        del self._pending[:READ_BYTES]
         self._http.receive_data(data)
-        if len(data) >= MAX_PENDING_BYTES:
+        if self._is_reader_waiting and len(self._pending) < MAX_PENDING_BYTES:
             await self._has_room.set()
 
     def _next_event(self) -> Any:
@@ -196,6 +203,10 @@
             headers = [*headers, (b"connection", b"close")]
         return self.encode(h11.Response(status_code=status, headers=headers, reason=reason))
 
+    def encode_end(self, event: h11.EndOfMessage) -> bytes:
+        """Return the bytes of the end of a response; HTTP/1.0 callers get no trailers."""
+        return self.encode(END if self._http.their_http_version == b"1.0" else event)
+
     async def send(self, data: bytes) -> None:
         """Write ``data``; raise :class:`CallerGoneError` if the caller closed."""
         try:
--- a/src/kingcupusher/_proxy/attempt.py
+++ b/src/kingcupusher/_proxy/attempt.py
@@ -14,6 +14,7 @@
     BadRequestError,
     CallerGoneError,
     ConnectError,
+    ConnectTimeoutError,
     ExchangeError,
     PoolLimitError,
     ResetError,
@@ -105,6 +106,9 @@
             try:
                 await self._exchange(connection)
                 is_complete = True
+            except RefusedError:
+                is_complete = True
+                raise
             finally:
                 self._caller.on_gone = None
                 if self._sender is not None:
@@ -117,7 +121,7 @@
         except RefusedError:
             event = RefusalEvent
             raise
-        except CallerGoneError:
+        except (CallerGoneError, curio.TaskCancelled):
             event = AbandonedEvent
             raise
         except ResetError as error:
@@ -126,6 +130,9 @@
                 raise CallerGoneError("the caller closed before the response") from error
             event = ResetEvent
             raise
+        except ConnectTimeoutError:
+            event = FailureEvent
+            raise
         except ConnectError:
             event = ResetEvent
             raise
@@ -217,17 +224,18 @@
             if event is h11.NEED_DATA:
                 await connection.fill()
             elif type(event) is h11.Response:
-                self._check_response(event)
+                self._check_response(event, connection)
                 return event
             elif event.status_code >= MIN_FORWARDED_INFORMATION:
                 await self._caller.send_information(event)
 
-    def _check_response(self, head: h11.Response) -> None:
+    def _check_response(self, head: h11.Response, connection: ClientConnection) -> None:
         self._status = head.status_code
         for name, value in head.headers:
             if name == b"x-target-load":
                 self._load = parse_load_report(value)
         if NOT_RUN in head.headers:
+            connection.skip_received_body()
             raise RefusedError(f"{self._place.pool.address} did not run the request")
         fault = response_fault(head, self._request.head.method)
         if fault is not None:
@@ -259,4 +267,6 @@
         if type(event) is h11.Response:
             headers = response_headers(list(event.headers))
             return self._caller.encode_head(event.status_code, headers, event.reason)
+        if type(event) is h11.EndOfMessage:
+            return self._caller.encode_end(event)
         return self._caller.encode(event)
--- a/src/kingcupusher/_proxy/exchange.py
+++ b/src/kingcupusher/_proxy/exchange.py
@@ -45,6 +45,7 @@
         "_is_handoff_tried",
         "_may_have_run",
         "_may_retry_freely",
+        "_must_wait",
         "_request",
         "_tried",
         "_waiting",
@@ -68,6 +69,7 @@
         self._is_handoff_tried = False
         self._may_have_run = False
         self._may_retry_freely = True
+        self._must_wait = False
         self._tried: set[str] = set()
 
     async def run(self) -> None:
@@ -113,7 +115,8 @@
 
     def _choose(self) -> str | None:
         service = self._request.service
-        if not self._tried and self._waiting.has_waiters(service):
+        overtakes = not self._tried and self._waiting.has_waiters(service)
+        if overtakes or self._must_wait:
             return None
         return self._directory.choose(service, now_ms=now_ms(), exclude=self._tried)
 
@@ -131,11 +134,13 @@
             place, self._request, self._body, caller=self._caller, directory=self._directory
         )
         self._attempt = attempt
-        self._attempts += 1
         try:
             await attempt.run()
             return None
         except PoolLimitError:
+            if place.target_id is None:
+                self._mark_tried(place)
+            self._must_wait = True
             return NO_TARGET
         except (ConnectError, NotSentError, RefusedError):
             self._mark_tried(place)
@@ -152,6 +157,8 @@
         return NO_RESPONSE if self._may_have_run else NO_TARGET
 
     def _mark_tried(self, place: Place) -> None:
+        self._must_wait = False
+        self._attempts += 1
         if place.target_id is None:
             self._is_handoff_tried = True
         else:
--- a/src/kingcupusher/_proxy/headers.py
+++ b/src/kingcupusher/_proxy/headers.py
@@ -42,6 +42,8 @@
     headers.append((b"x-request-timeout-ms", b"%d" % remaining_ms))
     if handoff:
         headers.append((b"x-handoff", b"1"))
+        if not request.is_idempotent:
+            headers.append((b"x-idempotent", b"false"))
     return headers
 
 
--- a/src/kingcupusher/_proxy/waiting.py
+++ b/src/kingcupusher/_proxy/waiting.py
@@ -40,6 +40,8 @@
         self, request: ProxyRequest, *, caller: ServerConnection, size_bytes: int
     ) -> str | None:
         """Wait for a place; return its target, or ``None`` at once if the queue is full."""
+        if caller.is_gone:
+            raise CallerGoneError("the caller closed before its request waited")
         waiter = Waiter()
         service = request.service
         accepted = self._queue(service).offer(
--- /dev/null
+++ b/testing/features/steps/proxy_property_steps.py
@@ -0,0 +1,217 @@
+"""Hypothesis properties of the request path."""
+
+from __future__ import annotations
+
+import curio
+from behave import then
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from testing.scripted import Plan, Target, World, request
+
+CHECKED = settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=60,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+REFUSAL = Plan(status=503, headers=((b"x-outcome", b"not-run"),))
+STALE = Plan(body=b"stale").wire()
+
+
+@st.composite
+def response_plans(draw, body):
+    plan = Plan(body=body, chunked=draw(st.booleans()))
+    plan.segment_bytes = draw(st.sampled_from([1 << 20, 1, 7, 50]))
+    fault = draw(st.sampled_from(["none", "none", "cut", "reset", "surplus", "unframed"]))
+    if fault in ("cut", "reset"):
+        plan.cut_at = draw(st.integers(0, len(plan.wire()) - 1))
+        plan.reset = fault == "reset"
+    if fault == "surplus":
+        # Bytes that come after the next request was written cannot be told from its response.
+        plan.surplus = STALE
+        plan.is_surplus_late = draw(st.booleans())
+        plan.segment_bytes = 1 << 20
+    if fault == "unframed":
+        plan.raw = b"HTTP/1.1 200 x\r\n\r\n" + body
+        plan.cut_at = draw(st.integers(18, len(plan.raw)))
+    return plan
+
+
+@st.composite
+def conversations(draw):
+    bodies = [bytes([65 + i]) * draw(st.integers(0, 90)) for i in range(draw(st.integers(1, 5)))]
+    return [draw(response_plans(b"<%d>" % i + body)) for i, body in enumerate(bodies)]
+
+
+@then("every reply is complete and its own, or says that it is not")
+def then_replies_are_whole(context):
+    # Guards against giving a caller the rest of somebody else's response, or a part of its own.
+    @CHECKED
+    @given(plans=conversations(), pipelined=st.booleans())
+    def check(plans, pipelined):
+        target = Target({b"/%d" % i: plan for i, plan in enumerate(plans)})
+        for plan in plans:
+            plan.is_surplus_late = plan.is_surplus_late and not pipelined
+        World([target]).run(lambda world: _converse(world, plans, pipelined))
+
+    check()
+
+
+async def _converse(world, plans, pipelined):
+    requests = [request(f"/{i}", headers="x-idempotent: false\r\n") for i in range(len(plans))]
+    caller = await world.caller()
+    if pipelined:
+        await caller.send(b"".join(requests))
+    async with caller.sock:
+        for sent, plan in zip(requests, plans, strict=True):
+            if not pipelined:
+                await caller.send(sent)
+            reply = await caller.reply()
+            if not reply.is_complete:
+                assert plan.cut_at is not None, "broken although the target was well"
+                return
+            if reply.status == 200:
+                assert reply.body == plan.body, (reply, plan)
+                assert plan.cut_at is None
+            else:
+                assert reply.outcome == b"unknown", reply
+            if plan.is_surplus_late:
+                await world.targets[0].send_late_surplus()
+
+
+@st.composite
+def sent_requests(draw):
+    body = draw(st.binary(max_size=80))
+    chunk_bytes = draw(st.sampled_from([0, 1, 9, 200]))
+    if not chunk_bytes or not body:
+        return request("/x", method="PUT", body=body), body
+    pieces = [body[i : i + chunk_bytes] for i in range(0, len(body), chunk_bytes)]
+    chunks = b"".join(b"%x\r\n%s\r\n" % (len(piece), piece) for piece in pieces)
+    head = request("/x", method="PUT", headers="transfer-encoding: chunked\r\n")
+    return head + chunks + b"0\r\n\r\n", body
+
+
+@then("generated pipelined requests reach the target unchanged and in order")
+def then_requests_unchanged(context):
+    # Guards against splitting the caller's bytes at other places than the caller meant.
+    @CHECKED
+    @given(
+        sent=st.lists(sent_requests(), min_size=1, max_size=6),
+        segment_bytes=st.sampled_from([1, 3, 40, 1 << 20]),
+    )
+    def check(sent, segment_bytes):
+        target = Target()
+
+        async def scenario(world):
+            caller = await world.caller()
+            async with caller.sock:
+                data = b"".join(wire for wire, _ in sent)
+                await caller.send(data, segment_bytes=segment_bytes)
+                return [(await caller.reply()).status for _ in sent]
+
+        assert World([target]).run(scenario) == [200] * len(sent)
+        assert [seen.body for seen in target.seen] == [body for _, body in sent]
+
+    check()
+
+
+FAILURES = [
+    Plan(),
+    Plan(cut_at=0),
+    Plan(cut_at=0, reset=True),
+    Plan(cut_at=9),
+    Plan(raw=b"nonsense\r\n\r\n"),
+    REFUSAL,
+]
+
+
+@st.composite
+def fleets(draw):
+    plans = draw(st.lists(st.sampled_from(FAILURES), min_size=3, max_size=3))
+    down = draw(st.sets(st.integers(0, 2), max_size=2))
+    by_rule = draw(st.booleans())
+    idempotent = draw(st.booleans())
+    body = draw(st.sampled_from([b"", b"x" * 10, b"y" * 100_000]))
+    path = "/once/7" if by_rule and not idempotent else "/often"
+    headers = "" if by_rule or idempotent else "x-idempotent: false\r\n"
+    data = request(path, method="POST", headers=headers, body=body)
+    return plans, frozenset(down), idempotent, path.encode(), data
+
+
+def _run_fleet(fleet):
+    plans, down, _, path, data = fleet
+    targets = [Target({path: plan}) for plan in plans]
+    reply = World(targets, down=down).run(lambda world: world.call(data))
+    return targets, reply
+
+
+@then("no generated failure makes a non-idempotent request reach a second target")
+def then_written_once(context):
+    # Guards against issuing unpaid shares by running a transfer twice.
+    @CHECKED
+    @given(fleet=fleets().filter(lambda fleet: not fleet[2]))
+    def check(fleet):
+        targets, _ = _run_fleet(fleet)
+        assert sum(len(target.seen) for target in targets) <= 1
+
+    check()
+
+
+@then("no request that a target accepted is reported as not run")
+def then_not_run_is_certain(context):
+    # Guards against a caller that repeats a request because it was told that nothing happened.
+    @CHECKED
+    @given(fleet=fleets())
+    def check(fleet):
+        targets, reply = _run_fleet(fleet)
+        plans = fleet[0]
+        accepted = [t for t, plan in zip(targets, plans, strict=True) if t.seen and plan != REFUSAL]
+        assert reply.is_complete or accepted
+        if reply.outcome == b"not-run":
+            assert not accepted
+        elif reply.is_complete:
+            assert accepted
+
+    check()
+
+
+LENGTHS = ["content-length: 3", "content-length: 5", "transfer-encoding: chunked"]
+DOUBTFUL = [
+    "content-length: 3, 5",
+    "content-length: +3",
+    "content-length: 3 3",
+    "transfer-encoding: gzip, chunked",
+    "transfer-encoding: xchunked",
+    "transfer-encoding : chunked",
+    "content-length : 3",
+]
+
+
+@then("no generated conflict of lengths reaches a target")
+def then_conflicts_refused(context):
+    # Guards against request smuggling: a second request hidden in the body of the first.
+    conflicts = st.one_of(
+        st.permutations(LENGTHS).map(lambda lines: lines[:2]),
+        st.sampled_from(DOUBTFUL).map(lambda line: [line]),
+        st.tuples(st.sampled_from(DOUBTFUL), st.sampled_from(LENGTHS)).map(list),
+    )
+
+    @CHECKED
+    @given(lines=conflicts, idempotent=st.booleans())
+    def check(lines, idempotent):
+        headers = "".join(f"{line}\r\n" for line in lines)
+        hidden = request("/hidden")
+        target = Target()
+
+        async def scenario(world):
+            data = request("/x", method="POST", headers=headers) + b"0\r\n\r\n" + hidden
+            return await curio.timeout_after(30, world.call, data)
+
+        reply = World([target]).run(scenario)
+        assert reply.status in (400, 501)
+        assert reply.outcome == b"not-run"
+        assert target.seen == []
+
+    check()
