--- a/src/kingcupusher/_cli/options.py
+++ b/src/kingcupusher/_cli/options.py
@@ -10,7 +10,8 @@
 from kingcupusher._core.address import Address, AddressError
 
 
-def _address(text: str) -> Address:
+def parse_address(text: str) -> Address:
+    """Parse an option's value of the form ``IP:PORT``."""
     try:
         return Address.parse(text)
     except AddressError as error:
@@ -23,7 +24,7 @@
         "--platform",
         envvar="KINGCUPUSHER_PLATFORM",
         metavar="IP:PORT",
-        parser=_address,
+        parser=parse_address,
         help="Address of the platform's key-value service.",
     ),
 ]
