Run all cases of the benchmark on one deployment

One deployment for each number of entries now serves all cases, and the cases name the numbers with which they run.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,47 +3,61 @@
 from __future__ import annotations
 
 import sys
+from collections.abc import Iterator, Sequence
 from typing import Annotated
 
 import msgspec
 import typer
 
 import bench.added_latency
+import bench.control
 import bench.tail
 import bench.zone  # noqa: F401 - importing a case registers it
 from bench.bounds import broken_bounds
 from bench.cases import CASES, Options
+from bench.deployment import Deployment
+from bench.result import BenchResult
 from kingcupusher._core import KingcupusherError
 from kingcupusher._routing import DEFAULT_POLICY
+from standins.processes import ProcessGroup
+
+ENTRY_COUNTS = (3, 15)
+QUICK_ENTRY_COUNTS = (3,)
 
 
 def main(
     *,
-    quick: Annotated[bool, typer.Option(help="Short runs of fewer cases, under 50 s.")] = False,
+    quick: Annotated[bool, typer.Option(help="Short runs with 3 entries, under 50 s.")] = False,
     case: Annotated[list[str] | None, typer.Option(help="Case to run; repeatable.")] = None,
     seed: Annotated[int, typer.Option(min=1)] = 1,
     policy: Annotated[str, typer.Option(help="Routing policy of the entries.")] = DEFAULT_POLICY,
 ) -> None:
     """Print one JSON object for each measurement, and each broken bound on standard error."""
     options = Options(quick=quick, seed=seed, policy=policy)
-    problems: list[str] = []
+    broken = 0
     try:
-        for name in case or CASES:
-            problems += _run(name, options)
+        for result in _run_all(case or list(CASES), options):
+            typer.echo(msgspec.json.encode(result).decode())
+            for problem in broken_bounds(result):
+                typer.echo(f"bound broken: {problem}", err=True)
+                broken += 1
     except KingcupusherError as error:
-        problems.append(str(error))
         typer.echo(f"error: {error}", err=True)
-    sys.exit(1 if problems else 0)
+        sys.exit(1)
+    sys.exit(1 if broken else 0)
 
 
-def _run(name: str, options: Options) -> list[str]:
-    problems = []
-    for result in CASES.get(name)(options):
-        typer.echo(msgspec.json.encode(result).decode())
-        for problem in broken_bounds(result):
-            typer.echo(f"bound broken: {problem}", err=True)
-            problems.append(problem)
-    return problems
+def _run_all(names: Sequence[str], options: Options) -> Iterator[BenchResult]:
+    cases = [CASES.get(name) for name in names]
+    for entries in QUICK_ENTRY_COUNTS if options.quick else ENTRY_COUNTS:
+        chosen = [case for case in cases if entries in case.entry_counts]
+        if not chosen:
+            continue
+        with ProcessGroup() as group:
+            deployment = Deployment(group, entries=entries, policy=options.policy)
+            deployment.start()
+            for case in chosen:
+                yield from case.measure(deployment, options)
 
 
 if __name__ == "__main__":
--- a/bench/bounds.py
+++ b/bench/bounds.py
@@ -12,6 +12,8 @@
 # Section 1.3.
 ADDED_P99_MS = 0.52
 CONTROL_BYTES_PER_S = 6_000.0
+CONTROL_CPU_PERCENT = 1.6
+RESIDENT_BYTES = 32_000_000
 # The service file of the benchmark; a window of a measurement may hold one probe more.
 PROBES_PER_TARGET_S = 0.2
 PROBE_MARGIN_PER_S = 0.1
@@ -52,6 +54,16 @@
     return _above(result.control_bytes_per_s, CONTROL_BYTES_PER_S)
 
 
+@BOUNDS.register("CPU of an idle entry in % (1.3)")
+def _control_cpu(result: BenchResult) -> str | None:
+    return _above(result.control_cpu_percent, CONTROL_CPU_PERCENT)
+
+
+@BOUNDS.register("resident bytes of an idle entry (1.3)")
+def _resident(result: BenchResult) -> str | None:
+    return _above(result.resident_bytes, RESIDENT_BYTES)
+
+
 @BOUNDS.register("probes/s of a target (R1)")
 def _probes(result: BenchResult) -> str | None:
     return _above(result.probes_per_target_s, PROBES_PER_TARGET_S + PROBE_MARGIN_PER_S)
--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,32 @@
+"""What an entry spends on control while no requests come."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+
+from bench.cases import Options, case, new_result
+from bench.deployment import Deployment
+from bench.result import BenchResult
+from bench.usage import resident_bytes
+
+IDLE_S = 20.0
+QUICK_IDLE_S = 3.0
+US_PER_PERCENT_S = 10_000.0
+
+
+@case("control", entry_counts=(3, 15))
+def control(deployment: Deployment, options: Options) -> Iterator[BenchResult]:
+    """Read the usage of the entries before and after an idle time."""
+    before = deployment.read_usage()
+    time.sleep(QUICK_IDLE_S if options.quick else IDLE_S)
+    cost = deployment.cost(before, deployment.read_usage())
+    entries = deployment.cluster.entries
+    cpu_us_per_entry_s = cost.cpu_us / cost.elapsed_s / len(entries)
+    result = new_result("control", deployment, options)
+    result.probes_per_target_s = cost.probes_per_target_s
+    result.control_bytes_per_s = cost.control_bytes_per_s
+    result.control_cpu_percent = round(cpu_us_per_entry_s / US_PER_PERCENT_S, 2)
+    result.resident_bytes = max(resident_bytes(entry.process.pid) for entry in entries)
+    result.platform_calls_per_s = cost.platform_calls_per_s
+    yield result
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -1,7 +1,8 @@
-"""A deployment of one service for a measurement, with warm targets."""
+"""A deployment of one service for measurements, with warm targets."""
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from pathlib import Path
 
 import curio
@@ -19,19 +20,33 @@
 ZONES = ("zone-a", "zone-b", "zone-c")
 HOST = "bench.example"
 SERVICE = "bench"
+# Targets that no entry knows; loads go straight to them.
+DIRECT = "direct"
+TARGETS = 12
+SLOTS = 3
+DIRECT_TARGETS = 3
+DIRECT_SLOTS = 50
+
+# 36 slots of 100 ms serve 360 requests/s, which is about the rate of one service in section 1.3;
+# all processes together then use about one core, and the path itself adds 2 % to the p99.
+SERVICE_TIME_MS = 100.0
+
+TIMEOUT_MS = 10_000.0
 WARM_TIMEOUT_S = 30.0
 WARM_REQUESTS = 100_000
+WARM_RATE_PER_S = 100.0
+WARM_WORK_MS = 5.0
 
 # Short warm-up in the service file: the targets of the benchmark start warm, and only the entries
 # have to find that out.
-SERVICE_FILE = """\
-name = "{name}"
+SERVICE_FILE = f"""\
+name = "{SERVICE}"
 team = "bench"
-hosts = ["{host}"]
+hosts = ["{HOST}"]
 priority = "interactive"
 
 [target]
-slots = {slots}
+slots = {SLOTS}
 connections = 200
 cold_concurrency = 1
 warmup_ms = 100
@@ -45,58 +60,46 @@
 """
 
 
-class Shape(Struct, frozen=True, kw_only=True):
-    """Size of a deployment and the mean service time of its targets."""
-
-    entries: int
-    targets: int
-    slots: int
-    service_time_ms: float
-    policy: str
-
-
 class Usage(Struct, frozen=True):
-    """Readings of all processes at one instant."""
+    """Readings of entries and targets at one instant."""
 
     at_ms: float
     entry_cpu_us: float
     control_bytes: int
     probes: int
+    platform_calls: int
 
 
 class Cost(Struct, frozen=True, kw_only=True):
-    """What the entries spent between two readings."""
+    """What was spent between two readings."""
 
+    elapsed_s: float
+    cpu_us: float
     probes_per_target_s: float
     control_bytes_per_s: float
-    cpu_us_per_request: float
+    platform_calls_per_s: float
 
 
 class Deployment:
-    """Entries and targets of one service."""
+    """Entries and targets of one service, all on the same machine."""
 
-    __slots__ = ("cluster", "group", "shape")
+    __slots__ = ("_entry_count", "_policy", "cluster", "group")
 
-    def __init__(self, group: ProcessGroup, shape: Shape) -> None:
+    def __init__(self, group: ProcessGroup, *, entries: int, policy: str) -> None:
         self.group = group
-        self.shape = shape
         self.cluster = Cluster(group, zones=ZONES)
-
-    def start(self, *, bystanders: str = "") -> None:
-        """Start all processes and wait until every entry uses every target.
-
-        ``bystanders`` names a service that is not published, for as many targets that no entry
-        uses.
-        """
-        shape = self.shape
-        options = ("--slots", str(shape.slots), "--queue-length", "100", "--start-warm")
-        self.cluster.start_targets(SERVICE, shape.targets, *options)
-        if bystanders:
-            self.cluster.start_targets(bystanders, shape.targets, *options)
+        self._entry_count = entries
+        self._policy = policy
+
+    def start(self) -> None:
+        """Start all processes and wait until every entry uses every target."""
+        options = ("--queue-length", "100", "--start-warm")
+        self.cluster.start_targets(SERVICE, TARGETS, "--slots", str(SLOTS), *options)
+        self.cluster.start_targets(DIRECT, DIRECT_TARGETS, "--slots", str(DIRECT_SLOTS), *options)
         self.cluster.wait_targets()
         self.cluster.publish([self._write_service_file()])
         self.cluster.publish_vms()
-        self.cluster.start_entries(shape.entries, "--policy", shape.policy)
+        self.cluster.start_entries(self._entry_count, "--policy", self._policy)
         self.cluster.wait_entries()
         self._warm_up()
 
@@ -107,13 +110,13 @@
 
     def _write_service_file(self) -> Path:
         path = self.group.directory / f"{SERVICE}.toml"
-        text = SERVICE_FILE.format(name=SERVICE, host=HOST, slots=self.shape.slots)
-        path.write_text(text, encoding="utf-8")
+        path.write_text(SERVICE_FILE, encoding="utf-8")
         return path
 
     def _warm_up(self) -> None:
-        # The seed differs from those of measurements, because request ids contain it.
-        plan = self.plan(seed=0, utilisation=0.2, requests=WARM_REQUESTS)
+        plan = PlanSettings(
+            seed=0, rate_per_s=WARM_RATE_PER_S, requests=WARM_REQUESTS, service_time_ms=WARM_WORK_MS
+        )
         load = self.start_load("warm-up", plan)
         self.cluster.wait_until(
             "all targets are open",
@@ -122,55 +125,66 @@
         )
         load.stop()
 
-    def plan(self, *, seed: int, utilisation: float, requests: int) -> PlanSettings:
-        """Return a plan that uses a share of the slot capacity."""
-        capacity_per_s = self.shape.targets * self.shape.slots * 1000.0 / self.shape.service_time_ms
-        return PlanSettings(
-            seed=seed,
-            rate_per_s=utilisation * capacity_per_s,
-            requests=requests,
-            service_time_ms=self.shape.service_time_ms,
-            non_idempotent_share=0.2,
+    def start_load(
+        self, name: str, plan: PlanSettings, *, entries: Sequence[Address] = ()
+    ) -> LoadProcess:
+        """Start sending a plan to ``entries``, or to all entries."""
+        options = LoadOptions(
+            entries=list(entries) or [entry.caller for entry in self.cluster.entries],
+            host=HOST,
+            plan=plan,
+            timeout_ms=TIMEOUT_MS,
+            target_controls=[target.control.address for target in self.targets],
         )
+        return LoadProcess(self.group, name, options)
 
-    def start_load(self, name: str, plan: PlanSettings) -> LoadProcess:
-        """Start sending a plan to all entries."""
-        entries = [entry.caller for entry in self.cluster.entries]
-        return LoadProcess(self.group, name, self._options(entries, plan))
-
-    def _options(self, entries: list[Address], plan: PlanSettings) -> LoadOptions:
-        controls = [target.control.address for target in self.targets]
-        return LoadOptions(
-            entries=entries, host=HOST, plan=plan, timeout_ms=10_000.0, target_controls=controls
-        )
+    def start_direct_load(self, name: str, plan: PlanSettings) -> LoadProcess:
+        """Start sending a plan straight to the targets that no entry knows."""
+        direct = [target.address for target in self.cluster.targets_of(DIRECT)]
+        options = LoadOptions(entries=direct, host=HOST, plan=plan, timeout_ms=TIMEOUT_MS)
+        return LoadProcess(self.group, name, options)
 
     def read_usage(self) -> Usage:
-        """Read what the entries have used until now."""
+        """Read what all entries have used until now."""
         entries = self.cluster.entries
         return Usage(
             at_ms=now_ms(),
             entry_cpu_us=sum(cpu_us(entry.process.pid) for entry in entries),
             control_bytes=sum(s.peer_bytes_sent for s in self.cluster.entry_statuses()),
             probes=sum(s.counters.probes for s in self.cluster.statuses(self.targets)),
+            platform_calls=curio.run(self.cluster.platform.control.counts).total,
         )
 
-    def cost(self, before: Usage, after: Usage, *, requests: int) -> Cost:
-        """Return the cost between two readings; control bytes are those an entry sends."""
+    def cost(self, before: Usage, after: Usage) -> Cost:
+        """Return the cost between two readings; bytes and calls are those of one entry."""
         elapsed_s = (after.at_ms - before.at_ms) / 1000.0
-        control_bytes = after.control_bytes - before.control_bytes
-        probes = after.probes - before.probes
+        entry_s = elapsed_s * len(self.cluster.entries)
         return Cost(
-            probes_per_target_s=round(probes / self.shape.targets / elapsed_s, 4),
-            control_bytes_per_s=round(control_bytes / self.shape.entries / elapsed_s, 1),
-            cpu_us_per_request=round((after.entry_cpu_us - before.entry_cpu_us) / requests, 1),
+            elapsed_s=elapsed_s,
+            cpu_us=after.entry_cpu_us - before.entry_cpu_us,
+            probes_per_target_s=round((after.probes - before.probes) / TARGETS / elapsed_s, 4),
+            control_bytes_per_s=round((after.control_bytes - before.control_bytes) / entry_s, 1),
+            platform_calls_per_s=round((after.platform_calls - before.platform_calls) / entry_s, 2),
         )
 
     def executions(self, zone: str) -> list[Execution]:
-        """Return all executions in a zone."""
-        controls = [target.control for target in self.cluster.targets_in(zone)]
+        """Return all executions of the service in a zone."""
+        controls = [target.control for target in self.targets if target.vm.zone == zone]
         return [e for control in controls for e in curio.run(control.executions)]
 
 
+def slot_plan(*, seed: int, utilisation: float, duration_s: float) -> PlanSettings:
+    """Return a plan that uses a share of the slot capacity of the service."""
+    rate_per_s = utilisation * TARGETS * SLOTS * 1000.0 / SERVICE_TIME_MS
+    return PlanSettings(
+        seed=seed,
+        rate_per_s=rate_per_s,
+        requests=int(rate_per_s * duration_s),
+        service_time_ms=SERVICE_TIME_MS,
+        non_idempotent_share=0.2,
+    )
+
+
 def errors(result: LoadResult) -> int:
     """Return the number of requests that were not answered whole."""
     return result.summary.requests - result.summary.whole
--- a/bench/result.py
+++ b/bench/result.py
@@ -6,7 +6,11 @@
 
 
 class BenchResult(Struct, kw_only=True):
-    """One measurement; a figure that the case does not measure is null."""
+    """One measurement; a figure that the case does not measure is null.
+
+    ``control_bytes_per_s`` is what one entry sends to its peers. ``cpu_us_per_request`` contains
+    the entries' background work during the measurement.
+    """
 
     case: str
     seed: int
@@ -24,3 +28,6 @@
     errors: int | None = None
     duplicates: int | None = None
     new_work_after_zone_out: int | None = None
+    control_cpu_percent: float | None = None
+    resident_bytes: int | None = None
+    platform_calls_per_s: float | None = None
--- a/bench/usage.py
+++ b/bench/usage.py
@@ -1,4 +1,4 @@
-"""CPU time of a process."""
+"""CPU time and memory of a process."""
 
 from __future__ import annotations
 
@@ -9,6 +9,8 @@
 # Fields of /proc/PID/stat after the command name, which is in parentheses and may hold spaces.
 USER_TICKS = 11
 SYSTEM_TICKS = 12
+# Field of /proc/PID/statm.
+RESIDENT_PAGES = 1
 
 
 def cpu_us(pid: int) -> float:
@@ -17,3 +19,9 @@
     fields = text.rpartition(")")[2].split()
     ticks = int(fields[USER_TICKS]) + int(fields[SYSTEM_TICKS])
     return ticks * US_PER_S / os.sysconf("SC_CLK_TCK")
+
+
+def resident_bytes(pid: int) -> int:
+    """Return the resident memory of a process."""
+    pages = Path(f"/proc/{pid}/statm").read_text(encoding="ascii").split()[RESIDENT_PAGES]
+    return int(pages) * os.sysconf("SC_PAGE_SIZE")
--- a/testing/features/bench.feature
+++ b/testing/features/bench.feature
@@ -40,3 +40,5 @@
       | zone         | errors                  | 1     | 1      |
       | tail         | control_bytes_per_s     | 6001  | 1      |
       | tail         | probes_per_target_s     | 0.5   | 1      |
+      | control      | control_cpu_percent     | 1.61  | 1      |
+      | control      | resident_bytes          | 33e6  | 1      |
