Check outcomes and behaviours of the request path

Cause: outcome responses, header handling, cancellation, queueing, the last check, reuse, handoff, drain and slow heads were not checked.

Changed with it: a request whose deadline has passed when its head was read is refused before a target is reserved; the scenario for it first failed because a place was reserved and given back.

--- a/src/kingcupusher/_proxy/exchange.py
+++ b/src/kingcupusher/_proxy/exchange.py
@@ -74,7 +74,10 @@
 
     async def run(self) -> None:
         """Serve the request; the caller gets one response or a broken connection."""
-        remaining_s = max(0.0, (self._request.deadline_ms - now_ms()) / 1000.0)
+        remaining_s = (self._request.deadline_ms - now_ms()) / 1000.0
+        if remaining_s <= 0.0:
+            await respond(self._caller, TIMED_OUT_BEFORE_SEND)
+            return
         try:
             async with curio.timeout_after(remaining_s):
                 failure = await self._forward()
--- a/src/kingcupusher/_proxy/proxy.py
+++ b/src/kingcupusher/_proxy/proxy.py
@@ -61,6 +61,11 @@
         for listener in self._listeners:
             await listener.stop(grace_ms=grace_ms, deadline_ms=deadline_ms)
 
+    @property
+    def waiting_count(self) -> int:
+        """Number of requests that wait for a target."""
+        return self._waiting.count
+
     async def pump(self) -> None:
         """Give waiting requests a target; call it when targets became usable."""
         await self._waiting.pump_all()
--- a/src/kingcupusher/_proxy/waiting.py
+++ b/src/kingcupusher/_proxy/waiting.py
@@ -36,6 +36,11 @@
         entry = self._queues.get(service.name)
         return entry is not None and len(entry.queue) > 0
 
+    @property
+    def count(self) -> int:
+        """Number of waiting requests of all services."""
+        return sum(len(entry.queue) for entry in self._queues.values())
+
     async def wait(
         self, request: ProxyRequest, *, caller: ServerConnection, size_bytes: int
     ) -> str | None:
--- a/testing/scripted.py
+++ b/testing/scripted.py
@@ -61,9 +61,10 @@
 
 @dataclass
 class Target:
-    """A target that follows the plan for each path; unknown paths get the default plan."""
+    """A target that follows the plan for each path; other paths get ``default``."""
 
     plans: dict[bytes, Plan] = field(default_factory=dict)
+    default: Plan = field(default_factory=Plan)
     seen: list[Seen] = field(default_factory=list)
     closed_by_peer: int = 0
     connections: int = 0
@@ -108,12 +109,12 @@
         if seen is None:
             self.closed_by_peer += 1
             return False
-        plan = self.plans.get(seen.path, Plan())
+        plan = self.plans.get(seen.path, self.default)
         if plan.silent:
             await client.recv(1)
             self.closed_by_peer += 1
             return False
-        if not await self._respond(client, plan):
+        if not await self._respond(client, plan) or not seen.is_whole:
             return False
         http.send(h11.Response(status_code=200, headers=[(b"content-length", b"0")]))
         http.send(h11.EndOfMessage())
@@ -129,7 +130,7 @@
             elif type(event) is h11.Request:
                 seen = Seen(event.method, event.target, dict(event.headers))
                 self.seen.append(seen)
-                if self.plans.get(seen.path, Plan()).headers == ((b"x-early", b"1"),):
+                if self.plans.get(seen.path, self.default).headers == ((b"x-early", b"1"),):
                     return seen
             elif type(event) is h11.Data:
                 seen.body += event.data
@@ -244,10 +245,10 @@
             self._service(), addresses, retries=self.retries, entry=entry
         )
         self.proxy = Proxy(self.directory, limits=self.limits)
-        listener = self.proxy.listen(LOOPBACK)
-        self.address = listener.address
-        self.serving = await curio.spawn(self.proxy.run, listener)
-        result = await curio.timeout_after(60, scenario, self)
+        self.listener = self.proxy.listen(LOOPBACK)
+        self.address = self.listener.address
+        self.serving = await curio.spawn(self.proxy.run, self.listener)
+        result = await curio.timeout_after(20, scenario, self)
         await self.proxy.drain(deadline_ms=now_ms(), grace_ms=0)
         await self.serving.join()
         assert all(count == 0 for count in self.directory.in_flight.values())
