Keep the registration right when its lease ends during a call

Cause: an outage of 11 s under load ended every lease; one entry crashed with a KeyError because its balance waited for the store while the renewal forgot all groups, and it ended with status 0 because a task group keeps the error of its first task. Reading on showed two worse faults: a key acquired under a lease that had ended meanwhile, or shown by a watch from before the lease ended, was believed, so that two entries could coordinate one group.

Changes: groups are taken only under the present lease; a rewound store drops groups without a key; the first task to end passes its error on, and an unexpected error is logged and ends the process with status 1. A lock around the renewal was ruled out, because a slow delete would then delay the renewal.

--- a/src/kingcupusher/_entry/driver.py
+++ b/src/kingcupusher/_entry/driver.py
@@ -8,6 +8,7 @@
 from kingcupusher._config.errors import ConfigError
 from kingcupusher._core import now_ms
 from kingcupusher._entry.holder import ConfigHolder
+from kingcupusher._entry.tasks import run_until_first_ends
 from kingcupusher._membership import EntryId, Membership
 from kingcupusher._peers import (
     ConfigReply,
@@ -32,10 +33,7 @@
 
     async def run(self) -> None:
         """Run until cancelled."""
-        async with curio.TaskGroup(wait=any) as group:
-            await group.spawn(self.hub.run)
-            await group.spawn(self._receive)
-            await group.spawn(self._tick)
+        await run_until_first_ends(self.hub.run, self._receive, self._tick)
 
     async def flush(self) -> None:
         """Send the messages that the membership has composed."""
--- a/src/kingcupusher/_entry/follower.py
+++ b/src/kingcupusher/_entry/follower.py
@@ -34,6 +34,7 @@
         self._config = config
         self._membership = membership
         self._revision = 0
+        self.rewinds = 0
         self._is_failing = False
         self._listeners: list[FleetListener] = []
         self.members: dict[int, Member] = {}
@@ -56,8 +57,9 @@
         sent_ms = now_ms()
         seen = await self._store.watch("", after_revision=self._revision, timeout_ms=WATCH_MS)
         if seen.changed:
-            await self._take(seen.values)
+            self.rewinds += seen.revision < self._revision
             self._revision = seen.revision
+            await self._take(seen.values)
         if self._is_failing:
             log.notice("key-value service responds again")
             self._is_failing = False
--- a/src/kingcupusher/_entry/members.py
+++ b/src/kingcupusher/_entry/members.py
@@ -44,11 +44,12 @@
 
 
 class GroupKey(Struct, frozen=True):
-    """The coordinator key of one group, with the revision of its last change."""
+    """The coordinator key of one group, with the revision of its last change and its lease."""
 
     group: int
     holder: Holder
     revision: int
+    lease_id: str | None
 
 
 def member_key(seat: int) -> str:
@@ -91,5 +92,5 @@
             holder = msgspec.json.decode(value.value, type=Holder)
         except msgspec.MsgspecError:
             continue
-        groups[int(number)] = GroupKey(int(number), holder, value.revision)
+        groups[int(number)] = GroupKey(int(number), holder, value.revision, value.lease_id)
     return groups
--- a/src/kingcupusher/_entry/process.py
+++ b/src/kingcupusher/_entry/process.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import signal
-from collections.abc import Callable, Coroutine
 from functools import partial
-from typing import Any
 
 import curio
 import logbook
@@ -15,6 +13,7 @@
 from kingcupusher._entry.assembly import assemble, vm_listener
 from kingcupusher._entry.control import Control
 from kingcupusher._entry.parts import EntryParts
+from kingcupusher._entry.tasks import Task, run_until_first_ends
 from kingcupusher._entry.vm_reader import read_vm_list
 from kingcupusher._http.service import serve
 from kingcupusher._observe.logs import JsonHandler
@@ -28,8 +27,6 @@
 UPKEEP_S = 1.0
 EXIT_FAILURE = 1
 
-Task = Callable[[], Coroutine[Any, Any, None]]
-
 log = logbook.Logger("entry")
 
 
@@ -39,9 +36,12 @@
     with handler.applicationbound():
         try:
             curio.run(_run, settings)
-        except (KingcupusherError, curio.TaskGroupError, OSError) as error:
+        except (KingcupusherError, OSError) as error:
             log.error("entry failed", error=str(error))
             return EXIT_FAILURE
+        except Exception:
+            log.exception("entry failed unexpectedly")
+            return EXIT_FAILURE
         log.info("entry ended")
         return 0
 
@@ -55,13 +55,8 @@
         return
     control = Control(parts)
     proxy = Proxy(parts.directory)
-    async with curio.TaskGroup(wait=any) as group:
-        for task in _tasks(parts, control, proxy):
-            await group.spawn(task)
-        await group.spawn(_drain_when_asked, parts, control, proxy, stop)
-    await group.join()
-    if group.completed is not None and group.completed.exception:
-        raise group.completed.exception
+    drain = partial(_drain_when_asked, parts, control, proxy, stop)
+    await run_until_first_ends(*_tasks(parts, control, proxy), drain)
 
 
 async def _assemble_unless_stopped(
--- a/src/kingcupusher/_entry/registration.py
+++ b/src/kingcupusher/_entry/registration.py
@@ -21,6 +21,7 @@
     member_key,
     members_in,
 )
+from kingcupusher._entry.tasks import run_until_first_ends
 from kingcupusher._membership import Membership
 from kingcupusher._platform import ConflictError, KeyValueClient, Lease, LeaseLostError
 from kingcupusher._platform.errors import PlatformError
@@ -81,6 +82,8 @@
         self._follower = follower
         self._held: dict[int, int] = {}
         self._is_released = False
+        self._is_renewing = True
+        self._rewinds = 0
         self._lock = curio.Lock()
         membership.on_lease(until_ms=seat.lease.deadline_ms, now_ms=now_ms())
 
@@ -91,9 +94,7 @@
 
     async def run(self) -> None:
         """Renew and rebalance until cancelled; raise :class:`SeatLostError`."""
-        async with curio.TaskGroup(wait=any) as group:
-            await group.spawn(self._keep_renewing)
-            await group.spawn(self._keep_balancing)
+        await run_until_first_ends(self._keep_renewing, self._keep_balancing)
 
     async def release(self) -> None:
         """Give up all groups, so that other entries take them over without delay."""
@@ -123,12 +124,15 @@
             except LeaseLostError:
                 await self._register_again()
             except PlatformError as error:
-                log.info("lease not renewed", error=str(error))
+                if self._is_renewing:
+                    log.warning("lease not renewed", error=str(error))
+                self._is_renewing = False
                 await curio.sleep(RETRY_S)
 
     async def _renew(self) -> None:
         self._seat.lease = await self._store.renew_lease(self._seat.lease)
         self._membership.on_lease(until_ms=self._seat.lease.deadline_ms, now_ms=now_ms())
+        self._is_renewing = True
 
     async def _register_again(self) -> None:
         """Take the same seat under a new lease after the old one ended."""
@@ -182,28 +186,46 @@
                 await self._acquire(group)
 
     def _note_changes(self, groups: dict[int, GroupKey]) -> None:
-        """Compare with the watch: a lost response to a write shows up there."""
+        """Compare with the watch: a lost response to a write shows up there.
+
+        A key of an earlier lease of this entry is already gone, even if the watch still shows it.
+        """
+        self._note_rewind(groups)
         own = self._holder()
         for group, key in groups.items():
-            if key.holder == own and group not in self._held:
-                self._take(group, key.revision)
-            elif key.holder != own and group in self._held:
+            if key.holder != own:
                 self._drop(group)
+            elif key.lease_id == self._seat.lease.lease_id and group not in self._held:
+                self._take(group, key.revision)
+
+    def _note_rewind(self, groups: dict[int, GroupKey]) -> None:
+        """Drop the groups whose key was lost with a rewind of the store."""
+        if self._rewinds == self._follower.rewinds:
+            return
+        self._rewinds = self._follower.rewinds
+        for group in self._held.keys() - groups.keys():
+            self._drop(group)
 
     async def _acquire(self, group: int) -> None:
+        lease_id = self._seat.lease.lease_id
         try:
             revision = await self._store.put(
                 coordinator_key(group),
                 encode(self._holder()),
                 expected_revision=0,
-                lease_id=self._seat.lease.lease_id,
+                lease_id=lease_id,
             )
         except ConflictError:
             return
-        self._take(group, revision)
+        # The lease may have ended during the call, and the key with it.
+        if self._seat.lease.lease_id == lease_id:
+            self._take(group, revision)
 
     async def _give_up(self, group: int) -> None:
-        revision = self._held[group]
+        revision = self._held.get(group)
+        if revision is None:
+            # The lease ended during an earlier call, and all groups with it.
+            return
         self._drop(group)
         try:
             await self._store.delete(coordinator_key(group), expected_revision=revision)
@@ -215,7 +237,8 @@
         self._membership.on_group_acquired(group, term=revision, now_ms=now_ms())
 
     def _drop(self, group: int) -> None:
-        del self._held[group]
+        if self._held.pop(group, None) is None:
+            return
         self._membership.on_group_lost(group, now_ms=now_ms())
 
     def _forget_groups(self) -> None:
--- a/testing/features/steps/target_standin_steps.py
+++ b/testing/features/steps/target_standin_steps.py
@@ -165,7 +165,7 @@
     context.kernel.run(lambda: _send(context, name, work_ms=work_ms, left_ms=left_ms))
 
 
-@when('a caller sends request "{name}" of {work_ms:g} ms and closes the connection after 30 ms')
+@when('a client sends request "{name}" of {work_ms:g} ms and closes the connection after 30 ms')
 def when_closed(context, name, work_ms):
     async def send_and_close():
         connection = await _connect(context)
--- a/testing/features/target_standin.feature
+++ b/testing/features/target_standin.feature
@@ -28,7 +28,7 @@
   Scenario Outline: A closed connection cancels the request and frees its place
     Given a warm target with one slot and a queue of one
     When <condition>
-    And a caller sends request "x" of 300 ms and closes the connection after 30 ms
+    And a client sends request "x" of 300 ms and closes the connection after 30 ms
     And request "y" of 5 ms with 500 ms left is sent
     Then request "y" ends as "200"
     And its executions are "<executions>"
