Divide target groups evenly and send to ramping targets first

Cause: in a run with 5 entries and the key-value service down, a restarted target needed 16.4 s to open. The coordinator that ramped it held 20 of 32 groups (CRC-32 weights are linear; two entries held none), and it sent the ramping target only the equal share of its own traffic. At 15 entries that would be less than one request per second.

Changes: rendezvous weights by BLAKE2b with a bounded share per entry; the coordinator sends to a ramping target whenever its allowance has room. Ruled out: too few heartbeats to keep the outage rule satisfied; the status showed the same coordinator acting throughout.

--- a/src/kingcupusher/_entry/assignment.py
+++ b/src/kingcupusher/_entry/assignment.py
@@ -2,20 +2,38 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Collection
-from zlib import crc32
+from hashlib import blake2b
 
 from kingcupusher._membership import GROUPS
 
+WEIGHT_BYTES = 8
 
-def preferred_seat(group: int, seats: Collection[int]) -> int | None:
-    """Return the seat with the highest rendezvous weight for ``group``, None without seats.
 
-    When a seat comes or goes, only the groups of that seat move.
+def assign_groups(seats: Collection[int]) -> dict[int, int]:
+    """Return the seat that should coordinate each group; empty without seats.
+
+    Each group goes to the seat with the highest rendezvous weight that is not full, so that few
+    groups move when a seat comes or goes and no seat has more than its share, rounded up.
     """
-    return max(seats, key=lambda seat: (crc32(f"{group}/{seat}".encode()), seat), default=None)
+    if not seats:
+        return {}
+    share = -(-GROUPS // len(seats))
+    load: Counter[int] = Counter()
+    assigned = {}
+    for group in range(GROUPS):
+        ranked = sorted(seats, key=lambda seat: _weight(group, seat), reverse=True)  # noqa: B023
+        assigned[group] = next(seat for seat in ranked if load[seat] < share)
+        load[assigned[group]] += 1
+    return assigned
+
+
+def groups_of(seat: int, seats: Collection[int]) -> frozenset[int]:
+    """Return the groups that ``seat`` should coordinate."""
+    return frozenset(g for g, assigned in assign_groups(seats).items() if assigned == seat)
 
 
-def preferred_groups(seat: int, seats: Collection[int]) -> frozenset[int]:
-    """Return the groups that ``seat`` should coordinate."""
-    return frozenset(g for g in range(GROUPS) if preferred_seat(g, seats) == seat)
+def _weight(group: int, seat: int) -> bytes:
+    # CRC-32 is linear, so that one seat won 20 of 32 groups and two of five seats none.
+    return blake2b(f"{group}/{seat}".encode(), digest_size=WEIGHT_BYTES).digest()
--- a/src/kingcupusher/_entry/directory.py
+++ b/src/kingcupusher/_entry/directory.py
@@ -126,7 +126,7 @@
         state = self._services.get(service.name)
         if state is None:
             return None
-        allowed = self._allowed(state, now_ms)
+        allowed = self._allowed(state, exclude, now_ms)
         view = state.router.choose(now_ms=now_ms, allowed=allowed, exclude=exclude)
         if view is None:
             return None
@@ -202,16 +202,24 @@
         vm = self._vms.get(target_id)
         return vm.address if vm else None
 
-    def _allowed(self, state: ServiceState, now_ms: float) -> Collection[str]:
+    def _allowed(
+        self, state: ServiceState, exclude: Collection[str], now_ms: float
+    ) -> Collection[str]:
         if now_ms >= state.cache_until_ms:
             self._refresh_rights(state, now_ms)
-        allowed = {i for i in state.open_ids if self._has_room(i)}
-        for target_id in state.ramp_ids:
-            right = self._table.send_right(target_id, now_ms=now_ms)
-            in_flight = state.router.view(target_id).in_flight
-            if right.kind is RightKind.RAMP and in_flight < (right.allowance or 0):
-                allowed.add(target_id)
-        return allowed
+        if state.ramp_ids:
+            ramping = {i for i in state.ramp_ids if self._has_allowance(state, i, now_ms)}
+            # A ramp needs requests to proceed, and only this entry may send them: at 15 entries
+            # an equal choice would give a target less than one request per second.
+            if ramping - set(exclude):
+                return ramping
+        return {i for i in state.open_ids if self._has_room(i)}
+
+    def _has_allowance(self, state: ServiceState, target_id: str, now_ms: float) -> bool:
+        right = self._table.send_right(target_id, now_ms=now_ms)
+        if right.kind is not RightKind.RAMP:
+            return False
+        return state.router.view(target_id).in_flight < (right.allowance or 0)
 
     def _refresh_rights(self, state: ServiceState, now_ms: float) -> None:
         open_ids = []
--- a/src/kingcupusher/_entry/registration.py
+++ b/src/kingcupusher/_entry/registration.py
@@ -9,7 +9,7 @@
 import logbook
 
 from kingcupusher._core import now_ms
-from kingcupusher._entry.assignment import preferred_groups
+from kingcupusher._entry.assignment import groups_of
 from kingcupusher._entry.errors import EntryError, SeatLostError
 from kingcupusher._entry.follower import PlatformFollower
 from kingcupusher._entry.members import (
@@ -179,7 +179,7 @@
             return
         async with self._lock:
             self._note_changes(self._follower.groups)
-            wanted = preferred_groups(self._seat.member.seat, self._follower.members)
+            wanted = groups_of(self._seat.member.seat, self._follower.members)
             for group in sorted(self._held.keys() - wanted):
                 await self._give_up(group)
             for group in sorted(wanted - self._follower.groups.keys() - self._held.keys()):
--- a/testing/features/registration.feature
+++ b/testing/features/registration.feature
@@ -27,3 +27,19 @@
     Given a registered entry that holds groups 1 and 2 and should hold all
     When the watch shows a rewound store without coordinator keys
     Then the entry holds no group acquired before the rewind
+
+  # With CRC-32 weights one of five entries coordinated 20 of 32 groups, and two none.
+  Scenario Outline: Groups are divided evenly over <count> entries
+    Given <count> registered entries
+    Then each should coordinate at most its share of the groups, rounded up
+    And every group has one coordinator
+    And at most <moved> groups change their coordinator when one more entry comes
+
+    Examples:
+      | count | moved |
+      | 1     | 16    |
+      | 3     | 16    |
+      | 5     | 16    |
+      | 13    | 16    |
+      | 15    | 16    |
+      | 50    | 16    |
--- a/testing/features/steps/registration_steps.py
+++ b/testing/features/steps/registration_steps.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from types import SimpleNamespace
 
 import curio
 from behave import given, then, when
 
 from kingcupusher._core import now_ms
+from kingcupusher._entry.assignment import assign_groups
 from kingcupusher._entry.members import GroupKey, Holder, Member
 from kingcupusher._entry.registration import Registration, Seat
 from kingcupusher._limits import ColdStartRamp, ProbeBudget
-from kingcupusher._membership import Membership
+from kingcupusher._membership import GROUPS, Membership
 from kingcupusher._platform import Lease
 
 MEMBER = Member(
@@ -151,3 +153,27 @@
 @then("the entry does not hold group 7")
 def then_does_not_hold(context):
     assert context.registration.held_groups == []
+
+
+@given("{count:d} registered entries")
+def given_entries(context, count):
+    context.seats = list(range(count))
+    context.assigned = assign_groups(context.seats)
+
+
+@then("each should coordinate at most its share of the groups, rounded up")
+def then_share(context):
+    share = -(-GROUPS // len(context.seats))
+    assert max(Counter(context.assigned.values()).values()) <= share
+
+
+@then("every group has one coordinator")
+def then_covered(context):
+    assert sorted(context.assigned) == list(range(GROUPS))
+
+
+@then("at most {moved:d} groups change their coordinator when one more entry comes")
+def then_moved(context, moved):
+    grown = assign_groups([*context.seats, len(context.seats)])
+    changed = [g for g in range(GROUPS) if grown[g] != context.assigned[g]]
+    assert len(changed) <= moved, changed
