Use one cheap timer per request

It would cost less still, but each place where a request can wait (queue, connect, body, response, write to the caller) would need its own way to be interrupted.

--- a/src/kingcupusher/_http/listener.py
+++ b/src/kingcupusher/_http/listener.py
@@ -47,7 +47,7 @@
         self.address = Address(address.host, self._sock.getsockname()[1])
         self._handler = handler
         self._limits = limits
-        self._connections: dict[ServerConnection, curio.Task] = {}
+        self._connections: set[ServerConnection] = set()
         self._stopping = curio.Event()
         self._grace_end_ms = 0.0
         self._cut_ms = 0.0
@@ -89,14 +89,15 @@
         await curio.spawn(self._serve, sock, daemon=True)
 
     async def _serve(self, sock: curio.io.Socket) -> None:
-        connection = ServerConnection(sock, limits=self._limits)
+        task = await curio.current_task()
+        connection = ServerConnection(sock, task=task, limits=self._limits)
         connection.stop_requested = self._stopping.is_set()
-        self._connections[connection] = await curio.current_task()
+        self._connections.add(connection)
         reader = await curio.spawn(connection.read_socket, daemon=True)
         try:
             await self._handler(connection)
         finally:
-            del self._connections[connection]
+            self._connections.discard(connection)
             await reader.cancel()
             await sock.close()
 
@@ -129,8 +130,8 @@
             if now_ms() >= self._grace_end_ms:
                 await self._close_idle()
             await curio.sleep(DRAIN_CHECK_S)
-        for task in list(self._connections.values()):
-            await task.cancel()
+        for connection in list(self._connections):
+            await connection.task.cancel()
 
     async def _close_idle(self) -> None:
         for connection in list(self._connections):
--- a/src/kingcupusher/_http/server_connection.py
+++ b/src/kingcupusher/_http/server_connection.py
@@ -61,10 +61,12 @@
         "on_gone",
         "received_ms",
         "stop_requested",
+        "task",
     )
 
-    def __init__(self, sock: curio.io.Socket, *, limits: ServerLimits) -> None:
+    def __init__(self, sock: curio.io.Socket, *, task: curio.Task, limits: ServerLimits) -> None:
         self._sock = sock
+        self.task = task
         self._limits = limits
         self._http = h11.Connection(h11.SERVER, limits.max_head_bytes)
         self._pending = bytearray()
--- a/src/kingcupusher/_proxy/exchange.py
+++ b/src/kingcupusher/_proxy/exchange.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-import curio
-
 from kingcupusher._core import now_ms
 from kingcupusher._http.errors import (
     ConnectError,
+    DeadlineError,
     ExchangeError,
     PoolLimitError,
 )
 from kingcupusher._http.pool import ConnectionPool
 from kingcupusher._http.server_connection import ServerConnection
+from kingcupusher._http.timer import RequestTimer
 from kingcupusher._proxy.attempt import Attempt, Place
 from kingcupusher._proxy.body import RequestBody, read_body
 from kingcupusher._proxy.classify import ProxyRequest
@@ -74,14 +74,14 @@
 
     async def run(self) -> None:
         """Serve the request; the caller gets one response or a broken connection."""
-        remaining_s = (self._request.deadline_ms - now_ms()) / 1000.0
-        if remaining_s <= 0.0:
+        deadline_ms = self._request.deadline_ms
+        if now_ms() >= deadline_ms:
             await respond(self._caller, TIMED_OUT_BEFORE_SEND)
             return
         try:
-            async with curio.timeout_after(remaining_s):
+            async with RequestTimer(self._caller.task, deadline_ms=deadline_ms):
                 failure = await self._forward()
-        except curio.TaskTimeout:
+        except DeadlineError:
             failure = self._timed_out()
         finally:
             await self._waiting.pump(self._request.service)
