--- a/src/kingcupusher/_http/client_connection.py
+++ b/src/kingcupusher/_http/client_connection.py
@@ -8,6 +8,7 @@
 
 import curio
 import h11
+from curio.traps import _read_wait
 
 from kingcupusher._core import now_ms
 from kingcupusher._core.address import Address
@@ -18,6 +19,7 @@
     ResetError,
 )
 from kingcupusher._http.heads import HeaderList, trusted_headers
+from kingcupusher._http.sending import send_all
 
 READ_BYTES = 65_536
 END = h11.EndOfMessage()
@@ -74,7 +76,7 @@
     async def send(self, data: bytes) -> None:
         """Write ``data``; the first bytes leave before this call gives up control."""
         try:
-            await self._sock.sendall(data)
+            await send_all(self._sock, data)
         except OSError as error:
             raise ResetError(f"{self.address} closed the connection: {error}") from error
 
@@ -92,6 +94,8 @@
     async def fill(self) -> None:
         """Wait for more bytes of the response."""
         try:
+            # A response is not there yet; a read that fails first would cost a system call.
+            await _read_wait(self._sock._fileno)
             self._http.receive_data(await self._sock.recv(READ_BYTES))
         except OSError as error:
             raise ResetError(f"{self.address} reset the connection: {error}") from error
