--- a/standins/platform/state.py
+++ b/standins/platform/state.py
@@ -22,7 +22,8 @@
         self.vms = LaggingVmList(lag_ms=vm_list_lag_ms)
         self.faults = Faults()
         self.counts: Counter[str] = Counter()
-        self.snapshots: list[Snapshot] = []
+        # Snapshot 0 is the empty store.
+        self.snapshots: list[Snapshot] = [self.store.snapshot()]
         self._waiting: list[curio.Event] = []
 
     async def wait_for_change(self) -> None:
