--- a/src/kingcupusher/_proxy/proxy.py
+++ b/src/kingcupusher/_proxy/proxy.py
@@ -72,6 +72,7 @@
 
     async def _pump_regularly(self) -> None:
         while True:
+            await self._waiting.wait_for_waiters()
             await curio.sleep(PUMP_S)
             await self._waiting.pump_all()
 
--- a/src/kingcupusher/_proxy/waiting.py
+++ b/src/kingcupusher/_proxy/waiting.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import curio
+
 from kingcupusher._config import Service
 from kingcupusher._core import now_ms
 from kingcupusher._http.errors import CallerGoneError
@@ -24,12 +26,13 @@
 class WaitingRoom:
     """The waiting requests of all services."""
 
-    __slots__ = ("_directory", "_factory", "_queues")
+    __slots__ = ("_directory", "_factory", "_has_waiters", "_queues")
 
     def __init__(self, directory: Directory, factory: QueueFactory) -> None:
         self._directory = directory
         self._factory = factory
         self._queues: dict[str, _ServiceQueue] = {}
+        self._has_waiters = curio.Event()
 
     def has_waiters(self, service: Service) -> bool:
         """Return whether a request for ``service`` waits; a new one must not overtake it."""
@@ -41,6 +44,12 @@
         """Number of waiting requests of all services."""
         return sum(len(entry.queue) for entry in self._queues.values())
 
+    async def wait_for_waiters(self) -> None:
+        """Wait until a request waits, so that an idle process need not wake up regularly."""
+        if self.count == 0:
+            self._has_waiters.clear()
+            await self._has_waiters.wait()
+
     async def wait(
         self, request: ProxyRequest, *, caller: ServerConnection, size_bytes: int
     ) -> str | None:
@@ -58,6 +67,7 @@
         )
         if not accepted:
             return None
+        await self._has_waiters.set()
         caller.on_gone = waiter.give_up
         try:
             await waiter.wait()
