Tell stale connections from resets; close three gaps

Cause, found by reading the path again: - a target that closes an idle connection just as a request is written looks like a crash, and the design closes a target at once on a reset. ResetEvent now says is_stale when the connection had been used before and no byte came; an idempotent request may then go to the same target again. - a deadline that passed while the task that streams a long body was being ended skipped the return of the connection, so the pool would have lost a place for good. - an error of accept (caller gone, no free descriptor) ended the accepting task. - a waiting request whose caller had gone could be granted a place by a queue that does not know of it; it is passed over now.

The other three have no scenario.

--- a/src/kingcupusher/_http/client_connection.py
+++ b/src/kingcupusher/_http/client_connection.py
@@ -28,7 +28,16 @@
 class ClientConnection:
     """One connection to a target; owned by the task that acquired it."""
 
-    __slots__ = ("_http", "_method", "_sock", "address", "idle_since_ms", "is_aborted")
+    __slots__ = (
+        "_http",
+        "_method",
+        "_sock",
+        "address",
+        "has_received",
+        "idle_since_ms",
+        "is_aborted",
+        "is_reused",
+    )
 
     def __init__(self, sock: curio.io.Socket, address: Address) -> None:
         self._sock = sock
@@ -37,6 +46,8 @@
         self.address = address
         self.idle_since_ms = now_ms()
         self.is_aborted = False
+        self.is_reused = False
+        self.has_received = False
 
     @classmethod
     async def open(cls, address: Address, *, deadline_ms: float) -> ClientConnection:
@@ -96,9 +107,11 @@
         try:
             # A response is not there yet; a read that fails first would cost a system call.
             await _read_wait(self._sock._fileno)
-            self._http.receive_data(await self._sock.recv(READ_BYTES))
+            data = await self._sock.recv(READ_BYTES)
         except OSError as error:
             raise ResetError(f"{self.address} reset the connection: {error}") from error
+        self.has_received = self.has_received or bool(data)
+        self._http.receive_data(data)
 
     def skip_received_body(self) -> None:
         """Read past the body bytes that are already here, so that the connection can be reused."""
@@ -112,9 +125,15 @@
         ended = http.our_state is h11.DONE and http.their_state is h11.DONE
         return ended and not http.trailing_data[0] and not self.is_aborted
 
+    def is_stale(self) -> bool:
+        """Whether an error on this connection may only mean that the peer had closed it idle."""
+        return self.is_reused and not self.has_received
+
     def start_next(self) -> None:
         """Prepare for the next request."""
         self._http.start_next_cycle()
+        self.is_reused = True
+        self.has_received = False
 
     def is_quiet(self) -> bool:
         """Whether the peer has neither closed nor sent bytes that nobody asked for."""
--- a/src/kingcupusher/_http/listener.py
+++ b/src/kingcupusher/_http/listener.py
@@ -15,6 +15,7 @@
 BACKLOG = 512
 SWEEP_S = 0.25
 DRAIN_CHECK_S = 0.02
+ACCEPT_RETRY_S = 0.05
 
 ConnectionHandler = Callable[[ServerConnection], Awaitable[None]]
 
@@ -74,12 +75,17 @@
 
     async def _accept(self) -> None:
         while True:
-            sock, _ = await self._sock.accept()
+            try:
+                sock, _ = await self._sock.accept()
+            except OSError:
+                # A caller gave up, or no file descriptor is free; accepting must go on.
+                await curio.sleep(ACCEPT_RETRY_S)
+                continue
             await self._start(sock)
 
     async def _accept_waiting(self) -> None:
         """Accept what the system already holds; closing the listener would reset it."""
-        with suppress(BlockingIOError):
+        with suppress(OSError):
             while True:
                 sock, _ = self._sock._socket.accept()
                 await self._start(curio.io.Socket(sock))
--- a/src/kingcupusher/_proxy/attempt.py
+++ b/src/kingcupusher/_proxy/attempt.py
@@ -67,6 +67,7 @@
         "_started_ms",
         "_status",
         "is_head_forwarded",
+        "is_stale",
         "is_written",
         "stream_error",
     )
@@ -91,6 +92,7 @@
         self._sender: curio.Task | None = None
         self.stream_error: KingcupusherError | None = None
         self.is_written = False
+        self.is_stale = False
         self.is_head_forwarded = False
 
     async def run(self) -> None:
@@ -112,9 +114,8 @@
                 raise
             finally:
                 self._caller.on_gone = None
-                if self._sender is not None:
-                    await self._sender.cancel()
-                await self._place.pool.release(connection, reusable=is_complete)
+                self.is_stale = connection.is_stale()
+                await self._release(connection, is_complete)
             event = ResponseEvent
         except (PoolLimitError, NotSentError):
             event = NotSentEvent
@@ -140,12 +141,24 @@
         finally:
             self._report(event)
 
+    async def _release(self, connection: ClientConnection, is_complete: bool) -> None:
+        try:
+            if self._sender is not None:
+                await self._sender.cancel()
+        finally:
+            # The deadline may pass during the wait above; the place in the pool must come back.
+            await self._place.pool.release(connection, reusable=is_complete)
+
     def _report(self, kind: type[TargetEvent]) -> None:
         target_id = self._place.target_id
         if target_id is None:
             return
         current_ms = now_ms()
-        extra: dict[str, Any] = {"status": self._status} if kind is ResponseEvent else {}
+        extra: dict[str, Any] = {}
+        if kind is ResponseEvent:
+            extra["status"] = self._status
+        elif kind is ResetEvent:
+            extra["is_stale"] = self.is_stale
         event = kind(
             service=self._request.service.name,
             target_id=target_id,
--- a/src/kingcupusher/_proxy/directory.py
+++ b/src/kingcupusher/_proxy/directory.py
@@ -40,8 +40,14 @@
     """The target said that it did not run the request."""
 
 
-class ResetEvent(TargetEvent):
-    """The target closed or reset the connection, or did not accept a new one."""
+class ResetEvent(TargetEvent, kw_only=True):
+    """The target closed or reset the connection, or did not accept a new one.
+
+    With ``is_stale``, the connection had been used before and no byte of the response came; the
+    target may only have closed it as idle, which says nothing about its state.
+    """
+
+    is_stale: bool = False
 
 
 class NotSentEvent(TargetEvent):
--- a/src/kingcupusher/_proxy/exchange.py
+++ b/src/kingcupusher/_proxy/exchange.py
@@ -150,7 +150,7 @@
             self._may_retry_freely = not attempt.is_written
             self._attempt = None
         except ExchangeError:
-            self._mark_tried(place)
+            self._mark_tried(place, is_again_allowed=attempt.is_stale)
             self._may_retry_freely = False
             self._may_have_run = True
             if attempt.stream_error is not None:
@@ -159,12 +159,12 @@
                 )
         return NO_RESPONSE if self._may_have_run else NO_TARGET
 
-    def _mark_tried(self, place: Place) -> None:
+    def _mark_tried(self, place: Place, *, is_again_allowed: bool = False) -> None:
         self._must_wait = False
         self._attempts += 1
         if place.target_id is None:
             self._is_handoff_tried = True
-        else:
+        elif not is_again_allowed:
             self._tried.add(place.target_id)
 
     def _may_try_again(self) -> bool:
--- a/src/kingcupusher/_proxy/waiting.py
+++ b/src/kingcupusher/_proxy/waiting.py
@@ -115,12 +115,18 @@
             target_id = self._directory.choose(entry.service, now_ms=current_ms, exclude=())
             if target_id is None:
                 return
-            waiter = entry.queue.take(now_ms=current_ms)
+            waiter = self._take(entry.queue, current_ms)
             if waiter is None:
                 self._give_back_place(target_id, entry.service)
                 return
             await waiter.grant(target_id)
 
+    def _take(self, queue: Queue, current_ms: float) -> Waiter | None:
+        waiter = queue.take(now_ms=current_ms)
+        while waiter is not None and waiter.is_gone:
+            waiter = queue.take(now_ms=current_ms)
+        return waiter
+
     def _give_back_place(self, target_id: str, service: Service) -> None:
         event = NotSentEvent(
             service=service.name, target_id=target_id, at_ms=now_ms(), elapsed_ms=0.0
--- a/testing/features/proxy.feature
+++ b/testing/features/proxy.feature
@@ -61,6 +61,7 @@
       | the send right is checked last                              |
       | a pooled connection is used again                           |
       | a connection idle too long is not used for a transfer       |
+      | a stale connection is replaced for a lookup                 |
       | a request without a usable target is handed on once         |
       | a drain finishes requests in flight                         |
       | a slow head is refused                                      |
--- a/testing/features/steps/proxy_steps.py
+++ b/testing/features/steps/proxy_steps.py
@@ -257,6 +257,24 @@
     assert World([Target()]).run(lambda world: _two_requests(world, "/once", 2_000)) == 2
 
 
+@check("a stale connection is replaced for a lookup")
+def check_stale():
+    # Guards against taking an idle close by a target for a crash.
+    async def scenario(world):
+        caller = await world.caller()
+        async with caller.sock:
+            await caller.send(request("/first"))
+            await caller.reply()
+            world.targets[0].plans = {b"/x": Plan(cut_at=0, is_once=True)}
+            await caller.send(request("/x"))
+            return await caller.reply()
+
+    world = World([Target()])
+    assert world.run(scenario).status == 200
+    (reset,) = [event for event in world.directory.events if hasattr(event, "is_stale")]
+    assert reset.is_stale
+
+
 @check("a request without a usable target is handed on once")
 def check_handoff():
     async def scenario(world):
--- a/testing/scripted.py
+++ b/testing/scripted.py
@@ -34,6 +34,7 @@
     is_surplus_late: bool = False
     segment_bytes: int = 1 << 20
     silent: bool = False
+    is_once: bool = False
 
     def wire(self) -> bytes:
         """Return the bytes of the whole response."""
@@ -110,6 +111,8 @@
             self.closed_by_peer += 1
             return False
         plan = self.plans.get(seen.path, self.default)
+        if plan.is_once:
+            del self.plans[seen.path]
         if plan.silent:
             await client.recv(1)
             self.closed_by_peer += 1
