--- a/src/kingcupusher/_proxy/waiting.py
+++ b/src/kingcupusher/_proxy/waiting.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import curio
+
 from kingcupusher._config import Service
 from kingcupusher._core import now_ms
 from kingcupusher._http.errors import CallerGoneError
@@ -24,12 +26,13 @@
 class WaitingRoom:
     """The waiting requests of all services."""
 
-    __slots__ = ("_directory", "_factory", "_queues")
+    __slots__ = ("_directory", "_factory", "_has_waiters", "_queues")
 
     def __init__(self, directory: Directory, factory: QueueFactory) -> None:
         self._directory = directory
         self._factory = factory
         self._queues: dict[str, _ServiceQueue] = {}
+        self._has_waiters = curio.Event()
 
     def has_waiters(self, service: Service) -> bool:
         """Return whether a request for ``service`` waits; a new one must not overtake it."""
@@ -41,6 +44,12 @@
         """Number of waiting requests of all services."""
         return sum(len(entry.queue) for entry in self._queues.values())
 
+    async def wait_for_waiters(self) -> None:
+        """Wait until a request waits, so that an idle process need not wake up regularly."""
+        if self.count == 0:
+            self._has_waiters.clear()
+            await self._has_waiters.wait()
+
     async def wait(
         self, request: ProxyRequest, *, caller: ServerConnection, size_bytes: int
     ) -> str | None:
@@ -58,6 +67,7 @@
         )
         if not accepted:
             return None
+        await self._has_waiters.set()
         caller.on_gone = waiter.give_up
         try:
             await waiter.wait()
@@ -105,12 +115,18 @@
             target_id = self._directory.choose(entry.service, now_ms=current_ms, exclude=())
             if target_id is None:
                 return
-            waiter = entry.queue.take(now_ms=current_ms)
+            waiter = self._take(entry.queue, current_ms)
             if waiter is None:
                 self._give_back_place(target_id, entry.service)
                 return
             await waiter.grant(target_id)
 
+    def _take(self, queue: Queue, current_ms: float) -> Waiter | None:
+        waiter = queue.take(now_ms=current_ms)
+        while waiter is not None and waiter.is_gone:
+            waiter = queue.take(now_ms=current_ms)
+        return waiter
+
     def _give_back_place(self, target_id: str, service: Service) -> None:
         event = NotSentEvent(
             service=service.name, target_id=target_id, at_ms=now_ms(), elapsed_ms=0.0
