Bound direct evidence and check the send rules with generated histories

Cause: reading the first version against the invariants showed three gaps. - An entry that is cut off from the coordinator alone could renew its evidence without limit, while the coordinator, after a sign that was not true, ramped the target. Evidence now ends 7 s after the last grant unless an outage is confirmed, and a revocation that is not acknowledged waits 8.5 s, which is longer than any such right. 7 s covers the loss of a coordinator: 6 s lease, 2 s takeover, 0.5 s to hear the new one, less the 1.5 s of the last grant. - A ramp rose with each success even while the target said that it was cold. It now keeps the first step until a report that cannot lag says warm. - An entry without any registered peer passed the outage rule with nobody heard. Entries whose registration ended in the last 10 minutes without a drain must now be heard, too. Cost: within 10 minutes after a crash, an outage stops ramps and probes; open targets stay in use.

The properties drive 2, 3 and 5 membership objects over a simulated network, store, VM list and targets in virtual time, each entry with a clock offset of its own. Two more cases turned up there and count as residual: an order that nobody read before the store became unreachable for everybody, and a coordinator under the outage rule while an entry that joined after its last contact, and is cut off from it, takes the key.

--- a/src/kingcupusher/_membership/bounds.py
+++ b/src/kingcupusher/_membership/bounds.py
@@ -15,10 +15,19 @@
 EVIDENCE_MS = 2_500.0
 
 # A load report may still say "warm" for this long after the target turned cold.
-REPORT_LAG_MS = 500.0
+REPORT_LAG_MS = 1_000.0
 
-# Older than any right that rests on what was known before a target was closed.
-REVOCATION_MS = max(GRANT_MS, EVIDENCE_MS + REPORT_LAG_MS)
+# Direct evidence carries an entry this long after its last grant, unless an outage is confirmed.
+# It covers the loss of a coordinator: 6 s until its lease ends and 2 s of takeover, less the
+# grant that outlives it by 1.5 s, and half a second to hear the new one.
+EVIDENCE_WITHOUT_GRANT_MS = 7_000.0
+
+# An entry that does not acknowledge a revocation has no right left after this time, whatever the
+# target says to it.
+REVOCATION_MS = GRANT_MS + EVIDENCE_WITHOUT_GRANT_MS
+
+# If the sign that closed a target was true, nobody has evidence from before it after this time.
+DEPARTED_HOLD_MS = max(GRANT_MS, EVIDENCE_MS + REPORT_LAG_MS)
 
 # Older grants and the reports that the outage rule needs have expired by then.
 TAKEOVER_MS = 2_000.0
@@ -30,8 +39,8 @@
 # The platform counts as unreachable after this time without a response, even if no call failed.
 PLATFORM_SILENCE_MS = 1_500.0
 
-# A registration may end while its entry still runs and holds open targets by direct evidence.
-# Revocations ask such an entry for an acknowledgement for this long.
+# A registration may end while its entry still runs, cut off together with a majority, and uses
+# open targets by direct evidence. Ramps start later for this long after a registration ended.
 DEPARTED_MS = 600_000.0
 
 # An entry that was heard this recently may hold a right, even if it is not registered.
--- a/src/kingcupusher/_membership/confirmation.py
+++ b/src/kingcupusher/_membership/confirmation.py
@@ -2,23 +2,23 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
 from math import inf
 
 from kingcupusher._membership.bounds import CONFIRMATION_MS, PLATFORM_SILENCE_MS
-from kingcupusher._membership.peers import PeerBook
+from kingcupusher._membership.fleet import Fleet
+from kingcupusher._membership.peers import EntryId, PeerBook
 
 
 class Confirmation:
     """Holds the instant up to which this entry's knowledge of the configuration is complete."""
 
-    __slots__ = ("_contact_ms", "_failed", "_peers", "_read_ms", "_registered", "_seat", "_version")
+    __slots__ = ("_contact_ms", "_failed", "_fleet", "_own", "_peers", "_read_ms", "_version")
 
-    def __init__(self, peers: PeerBook, *, seat: int) -> None:
+    def __init__(self, peers: PeerBook, fleet: Fleet, *, own: EntryId) -> None:
         self._peers = peers
-        self._seat = seat
+        self._fleet = fleet
+        self._own = own
         self._version = 0
-        self._registered: frozenset[int] = frozenset()
         self._read_ms = -inf
         self._contact_ms = -inf
         self._failed = False
@@ -27,10 +27,6 @@
         """Note the version in force; call it before the read that returned it is noted."""
         self._version = max(self._version, version)
 
-    def on_registered(self, seats: Collection[int]) -> None:
-        """Note the registered entries."""
-        self._registered = frozenset(seats)
-
     def on_platform_read(self, *, sent_ms: float, now_ms: float) -> None:
         """Note a response that shows the configuration as it was at ``sent_ms`` or later."""
         self._read_ms = max(self._read_ms, sent_ms)
@@ -80,10 +76,11 @@
         reports = self._peers.reports(since_ms=now_ms - CONFIRMATION_MS)
         if any(r.platform_reachable or r.config_version > self._version for r in reports.values()):
             return -inf
-        heard = [report.as_of_ms for seat, report in reports.items() if seat in self._registered]
-        own = [now_ms] if self._seat in self._registered else []
+        registered = self._fleet.registered
+        heard = [r.as_of_ms for r in reports.values() if r.sender in registered]
+        own = [now_ms] if self._own in registered else []
         instants = sorted(heard + own, reverse=True)
-        majority = len(self._registered) // 2 + 1
+        majority = len(registered) // 2 + 1
         if len(instants) < majority:
             return -inf
         return instants[majority - 1] + CONFIRMATION_MS
--- a/src/kingcupusher/_membership/coordinator.py
+++ b/src/kingcupusher/_membership/coordinator.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
 from dataclasses import dataclass
 from math import inf
 
 from kingcupusher._membership.bounds import HEARD_MS, OUTAGE_REPORT_MS, TAKEOVER_MS
 from kingcupusher._membership.confirmation import Confirmation
+from kingcupusher._membership.fleet import Fleet
 from kingcupusher._membership.groups import check_group
 from kingcupusher._membership.peers import PeerBook
 
@@ -25,20 +25,15 @@
     ends at the service.
     """
 
-    __slots__ = ("_confirmation", "_holdings", "_peers", "_registered", "_seat", "lease_until_ms")
+    __slots__ = ("_confirmation", "_fleet", "_holdings", "_peers", "lease_until_ms")
 
-    def __init__(self, peers: PeerBook, confirmation: Confirmation, *, seat: int) -> None:
+    def __init__(self, peers: PeerBook, fleet: Fleet, confirmation: Confirmation) -> None:
         self._peers = peers
+        self._fleet = fleet
         self._confirmation = confirmation
-        self._seat = seat
-        self._registered: frozenset[int] = frozenset()
         self._holdings: dict[int, _Holding] = {}
         self.lease_until_ms = -inf
 
-    def on_registered(self, seats: Collection[int]) -> None:
-        """Note the registered entries."""
-        self._registered = frozenset(seats)
-
     def on_lease(self, *, until_ms: float) -> None:
         """Note a grant or renewal of the entry's lease."""
         self.lease_until_ms = max(self.lease_until_ms, until_ms)
@@ -84,13 +79,14 @@
 
         All registered entries must have been heard, must report the service as unreachable, and
         must have had no response from it since the lease may have ended: one that had could hold
-        a key of this entry. Unregistered entries that are heard count in the same way.
+        a key of this entry. An entry that is heard without being registered, or whose
+        registration ended lately, counts in the same way.
         """
         if self.lease_until_ms == -inf or self._confirmation.is_platform_reachable(now_ms=now_ms):
             return -inf
         reports = self._peers.reports(since_ms=now_ms - HEARD_MS)
-        others = self._registered - {self._seat}
-        if not others <= reports.keys():
+        heard = {report.sender for report in reports.values()}
+        if not self._fleet.others(now_ms=now_ms) <= heard:
             return -inf
         if any(
             report.platform_reachable or report.last_contact_ms > self.lease_until_ms
--- a/src/kingcupusher/_membership/duties.py
+++ b/src/kingcupusher/_membership/duties.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from math import inf
 
 from msgspec import Struct
@@ -11,11 +11,13 @@
 from kingcupusher._config import TargetLimits
 from kingcupusher._core.target_state import TargetState
 from kingcupusher._membership.bounds import (
+    DEPARTED_HOLD_MS,
     DRAIN_RECHECK_MS,
     IDLE_PROBE_MS,
     REVOCATION_MS,
     VERIFY_MS,
 )
+from kingcupusher._membership.fleet import Holders
 from kingcupusher._membership.peers import EntryId
 from kingcupusher._membership.ports import Budget, BudgetFactory, Ramp, RampFactory
 from kingcupusher._membership.record import TargetRecord
@@ -28,15 +30,20 @@
 
 @dataclass(slots=True)
 class Revocation:
-    """Rights that may still be in use after a target was closed."""
+    """Rights that may still be in use after a target was closed.
+
+    They end when all ``waiting`` entries have acknowledged, but not before ``hold_until_ms``, or
+    else at ``expires_ms``.
+    """
 
     epoch: int
+    hold_until_ms: float
     expires_ms: float
-    waiting: set[EntryId] = field(default_factory=set)
+    waiting: set[EntryId]
 
     def is_done(self, *, now_ms: float) -> bool:
         """Return whether every right was given up or has expired."""
-        return not self.waiting or now_ms >= self.expires_ms
+        return now_ms >= (self.expires_ms if self.waiting else self.hold_until_ms)
 
 
 @dataclass(slots=True)
@@ -52,10 +59,20 @@
     ramp: Ramp | None = None
     # Send instant of the first request of the ramp that the target answered as warm.
     warm_ms: float = inf
-    is_last_report_warm: bool = False
     # Set while the proof is awaited that a target opened by an earlier coordinator is still warm.
     verify_until_ms: float | None = None
 
+    def allowance(self, *, now_ms: float) -> int:
+        """Return how many requests a ramping target may have in flight.
+
+        A target that does not say that it is warm keeps the first step, however many requests
+        it served.
+        """
+        if self.ramp is None:
+            return 0
+        allowed = self.ramp.allowance(now_ms=now_ms)
+        return allowed if self.warm_ms < inf else min(allowed, self.limits.cold_concurrency)
+
 
 class Probe(Struct, frozen=True):
     """Permission to probe a target, valid before ``until_ms``."""
@@ -74,8 +91,8 @@
 class Duties:
     """Coordinated targets, the statements about them, and the list that heartbeats carry.
 
-    ``may_hold_rights`` returns the entries that may use a target now; ``announce`` is called
-    with each revocation, to be sent to all peers at once.
+    ``holders`` returns the entries that may use a target now; ``announce`` is called with each
+    revocation, to be sent to all peers at once.
     """
 
     __slots__ = (
@@ -83,7 +100,7 @@
         "_budget_factory",
         "_by_target",
         "_dropped",
-        "_may_hold_rights",
+        "_holders",
         "_ramp_factory",
         "version",
     )
@@ -93,12 +110,12 @@
         *,
         ramp_factory: RampFactory,
         budget_factory: BudgetFactory,
-        may_hold_rights: Callable[[float], set[EntryId]],
+        holders: Callable[[float], Holders],
         announce: Callable[[TargetNotice], None],
     ) -> None:
         self._ramp_factory = ramp_factory
         self._budget_factory = budget_factory
-        self._may_hold_rights = may_hold_rights
+        self._holders = holders
         self._announce = announce
         self._by_target: dict[str, Duty] = {}
         self._dropped: dict[str, Dropped] = {}
@@ -137,6 +154,8 @@
         if duty is None:
             return
         record = duty.record
+        if record.state is TargetState.OPEN:
+            record.last_grant_until_ms = now_ms
         if record.state is TargetState.RAMPING:
             record.move(TargetState.COLD, now_ms=now_ms)
         self.version += 1
@@ -210,13 +229,12 @@
         duty.revocation = None
         duty.ramp = self._ramp_factory(duty.limits)
         duty.warm_ms = inf
-        duty.is_last_report_warm = False
         duty.record.move(next_state(duty.record.state, Sign.RAMP), now_ms=now_ms)
         self._restate(duty)
 
     def _finish_ramp(self, duty: Duty, now_ms: float) -> None:
         ramp = duty.ramp
-        if ramp is not None and duty.is_last_report_warm and ramp.is_warm(now_ms=now_ms):
+        if ramp is not None and duty.warm_ms < inf and ramp.is_warm(now_ms=now_ms):
             duty.record.state = next_state(duty.record.state, Sign.WARM)
             duty.record.since_ms = now_ms
             self._open(duty, now_ms)
@@ -240,12 +258,15 @@
         duty.ramp = None
         duty.verify_until_ms = None
         if is_granted:
-            duty.revocation = Revocation(
-                record.epoch, now_ms + REVOCATION_MS, self._may_hold_rights(now_ms)
-            )
+            duty.revocation = self._revocation(record.epoch, now_ms)
         self._restate(duty)
         self._announce(TargetNotice(record.target_id, record.boot_id, state, record.epoch))
 
+    def _revocation(self, epoch: int, now_ms: float) -> Revocation:
+        holders = self._holders(now_ms)
+        hold_ms = DEPARTED_HOLD_MS if holders.has_departed else 0.0
+        return Revocation(epoch, now_ms + hold_ms, now_ms + REVOCATION_MS, holders.entries)
+
     def _restate(self, duty: Duty) -> None:
         self.version += 1
         duty.version = self.version
--- a/src/kingcupusher/_membership/member.py
+++ b/src/kingcupusher/_membership/member.py
@@ -13,7 +13,7 @@
 from kingcupusher._membership.confirmation import Confirmation
 from kingcupusher._membership.coordinator import CoordinatorRule
 from kingcupusher._membership.duties import Duties
-from kingcupusher._membership.fleet import Fleet
+from kingcupusher._membership.fleet import Fleet, Holders
 from kingcupusher._membership.peers import EntryId, PeerBook
 from kingcupusher._membership.ports import BudgetFactory, RampFactory, Vm
 from kingcupusher._membership.table import TargetTable
@@ -80,12 +80,12 @@
         self._reachable = False
         self.peers = PeerBook(self._own)
         self.fleet = Fleet(self._own)
-        self.confirmation = Confirmation(self.peers, seat=seat)
-        self.rule = CoordinatorRule(self.peers, self.confirmation, seat=seat)
+        self.confirmation = Confirmation(self.peers, self.fleet, own=self._own)
+        self.rule = CoordinatorRule(self.peers, self.fleet, self.confirmation)
         self.duties = Duties(
             ramp_factory=ramp_factory,
             budget_factory=budget_factory,
-            may_hold_rights=self._may_hold_rights,
+            holders=self._holders,
             announce=self._announce,
         )
         self.table = TargetTable(
@@ -96,9 +96,7 @@
 
     def on_members(self, boot_ids: Mapping[int, int], *, now_ms: float) -> None:
         """Take over the registered entries: boot id by seat."""
-        self.fleet.replace(boot_ids, now_ms=now_ms)
-        self.confirmation.on_registered(boot_ids.keys())
-        self.rule.on_registered(boot_ids.keys())
+        self.fleet.replace(boot_ids, drained=self.peers.draining(), now_ms=now_ms)
 
     def on_config(self, document: ConfigDocument, *, now_ms: float) -> None:
         """Put a configuration document in force; older versions are ignored."""
@@ -255,8 +253,8 @@
     def _announce(self, notice: TargetNotice) -> None:
         self._emit(None, notice)
 
-    def _may_hold_rights(self, now_ms: float) -> set[EntryId]:
-        return self.fleet.may_hold_rights(self.peers.heard(now_ms=now_ms), now_ms=now_ms)
+    def _holders(self, now_ms: float) -> Holders:
+        return self.fleet.holders(self.peers.heard(now_ms=now_ms), now_ms=now_ms)
 
 
 def _whole_ms(value_ms: float | None, *, up: bool = True) -> int | None:
--- a/src/kingcupusher/_membership/peers.py
+++ b/src/kingcupusher/_membership/peers.py
@@ -30,6 +30,7 @@
     of the peer's last successful response from the key-value service.
     """
 
+    sender: EntryId
     as_of_ms: float
     last_contact_ms: float
     platform_reachable: bool
@@ -103,7 +104,6 @@
         if identity in self._retired or identity.seat == self._own.seat:
             return None
         if known is not None:
-            known.grant.deadline_ms = -inf
             self._retired.append(known.identity)
         self._peers[identity.seat] = Peer(identity)
         return self._peers[identity.seat]
@@ -124,6 +124,7 @@
             peer.confirmed_version = max(peer.confirmed_version, heartbeat.seen_version)
         silence_ms = heartbeat.platform_silence_ms
         peer.report = PeerReport(
+            sender=peer.identity,
             as_of_ms=as_of_ms,
             last_contact_ms=-inf if silence_ms is None else now_ms - silence_ms,
             platform_reachable=heartbeat.platform_reachable,
@@ -140,6 +141,11 @@
             if peer.report is not None and peer.report.as_of_ms > since_ms
         }
 
+    def draining(self) -> set[EntryId]:
+        """Return the peer processes whose last report announced their drain."""
+        peers = self._peers.values()
+        return {p.identity for p in peers if p.report is not None and p.report.draining}
+
     def heard(self, *, now_ms: float) -> set[EntryId]:
         """Return the peer processes that may hold a right because they were heard lately."""
         return {
--- a/src/kingcupusher/_membership/record.py
+++ b/src/kingcupusher/_membership/record.py
@@ -6,7 +6,7 @@
 from math import inf
 
 from kingcupusher._core.target_state import TargetState
-from kingcupusher._membership.bounds import EVIDENCE_MS
+from kingcupusher._membership.bounds import EVIDENCE_MS, EVIDENCE_WITHOUT_GRANT_MS
 from kingcupusher._membership.peers import Grant
 
 # A target that one read of the VM list omits may be missing because the list lags.
@@ -36,6 +36,7 @@
     evidence_ms: float = -inf
     last_direct_ms: float = -inf
     grant: Grant | None = None
+    last_grant_until_ms: float = -inf
     absent_reads: int = ABSENT_READS
     is_leaving: bool = False
     # The zone went out since the last grant: the target must ramp before it is open again.
@@ -56,13 +57,24 @@
         """Deadline up to which direct responses prove warmth."""
         return self.evidence_ms + EVIDENCE_MS
 
+    @property
+    def ungranted_until_ms(self) -> float:
+        """Deadline up to which evidence may stand in for a coordinator that is not heard."""
+        last_ms = max(self.last_grant_until_ms, self.grant_until_ms)
+        return last_ms + EVIDENCE_WITHOUT_GRANT_MS
+
+    def drop_grant(self) -> None:
+        """Give up the grant, and keep its deadline."""
+        self.last_grant_until_ms = max(self.last_grant_until_ms, self.grant_until_ms)
+        self.grant = None
+
     def move(self, state: TargetState, *, now_ms: float) -> None:
         """Enter ``state``; a closed target loses its grant and its evidence."""
         if state is not self.state:
             self.since_ms = now_ms
         self.state = state
         if state is not TargetState.OPEN:
-            self.grant = None
+            self.drop_grant()
             self.evidence_ms = -inf
 
     def adopt_boot(self, boot_id: str | None, *, now_ms: float) -> None:
--- a/src/kingcupusher/_membership/table.py
+++ b/src/kingcupusher/_membership/table.py
@@ -184,7 +184,6 @@
         """Note a request that the target failed or did not answer in time."""
         duty = self._duties.of(target_id)
         if duty is not None and duty.ramp is not None:
-            duty.is_last_report_warm = False
             duty.ramp.on_failure(now_ms=now_ms)
 
     # -- what peers say
@@ -209,7 +208,7 @@
             # Changes to a list that this process never saw; the peer learns so from our echo.
             return
         if heartbeat.base_version == 0:
-            peer.grant.deadline_ms = -inf
+            # Targets that a whole list omits keep the old object, which nobody refreshes.
             peer.grant = Grant()
         for entry in heartbeat.targets:
             self._on_statement(entry, peer, now_ms)
@@ -284,7 +283,7 @@
         if duty is None or duty.ramp is None:
             return denied(Denial.CLOSED)
         until_ms = min(self._rule.until_ms(now_ms=now_ms), confirmed_until_ms)
-        return SendRight(RightKind.RAMP, until_ms, duty.ramp.allowance(now_ms=now_ms))
+        return SendRight(RightKind.RAMP, until_ms, duty.allowance(now_ms=now_ms))
 
     def _open_until_ms(self, record: TargetRecord, duty: Duty | None, now_ms: float) -> float:
         if duty is not None and duty.verify_until_ms is None:
@@ -293,10 +292,9 @@
             return record.grant_until_ms
         # An entry that is neither registered nor part of an outage that most entries see may be
         # unknown to the coordinator, which then could not ask it to give up its evidence.
-        known_until_ms = max(
-            self._rule.lease_until_ms, self._confirmation.outage_until_ms(now_ms=now_ms)
-        )
-        return min(record.evidence_until_ms, known_until_ms)
+        registered_until_ms = min(self._rule.lease_until_ms, record.ungranted_until_ms)
+        outage_until_ms = self._confirmation.outage_until_ms(now_ms=now_ms)
+        return min(record.evidence_until_ms, max(registered_until_ms, outage_until_ms))
 
     # -- details
 
@@ -361,11 +359,10 @@
             # It was warm and turned cold again: the ramp starts over.
             self._close(duty.record, sign, now_ms)
         elif duty.ramp is not None and sent_ms >= duty.record.since_ms + REPORT_LAG_MS:
-            # A target that says it is cold keeps the first step; an earlier report may lag.
-            duty.is_last_report_warm = sign is Sign.WARM
+            # An earlier report may lag behind the cold start.
             if sign is Sign.WARM:
                 duty.warm_ms = min(duty.warm_ms, sent_ms)
-                duty.ramp.on_success(now_ms=now_ms)
+            duty.ramp.on_success(now_ms=now_ms)
 
     def _on_warm(self, record: TargetRecord, sent_ms: float, now_ms: float) -> None:
         if record.state is not TargetState.OPEN or sent_ms < record.since_ms:
@@ -411,7 +408,7 @@
             return
         if entry.state is TargetState.UNKNOWN:
             if record.grant is peer.grant:
-                record.grant = None
+                record.drop_grant()
         elif entry.epoch < record.epoch:
             # Shows a sender whose epochs count from too low which one it has to exceed.
             self._emit(peer.identity.seat, TargetNoticeAck(record.target_id, record.epoch))
@@ -436,6 +433,7 @@
             return
         record.adopt_boot(entry.boot_id, now_ms=now_ms)
         record.move(TargetState.OPEN, now_ms=now_ms)
+        record.drop_grant()
         record.grant = peer.grant
         if is_newer:
             record.is_zone_closed = record.zone in self._zones_out
--- /dev/null
+++ b/testing/features/steps/membership_property_steps.py
@@ -0,0 +1,106 @@
+"""Hypothesis properties of the rules that allow a send.
+
+``--define seed=N`` generates other histories and ten times as many.
+"""
+
+from __future__ import annotations
+
+from behave import given, then
+from hypothesis import HealthCheck, seed, settings
+from hypothesis import given as given_examples
+from hypothesis import strategies as st
+
+from testing.fleet import World
+
+WARM_UP_MS = 9_000
+TAIL_MS = 12_000
+EVENTS = (
+    World.kill,
+    World.replace,
+    World.freeze,
+    World.freeze,
+    World.resume,
+    World.cut_store,
+    World.cut_most,
+    World.reach_store,
+    World.cut_peers,
+    World.slow_peers,
+    World.isolate,
+    World.heal_peers,
+    World.stop_store,
+    World.start_store,
+    World.restart_target,
+    World.restart_target,
+    World.chill_target,
+    World.drain_target,
+    World.toggle_traffic,
+    World.toggle_zone,
+    World.toggle_repeats,
+)
+GAPS_MS = (0, 40, 300, 700, 1_600, 2_600, 5_000, 9_000)
+
+
+@st.composite
+def histories(draw):
+    """Return pauses, each followed by an event at an entry and a target."""
+    step = st.tuples(
+        st.sampled_from(GAPS_MS),
+        st.sampled_from(EVENTS),
+        st.integers(0, 4),
+        st.integers(0, 2),
+    )
+    return draw(st.lists(step, min_size=1, max_size=16))
+
+
+def checked(context, examples):
+    """Return a decorator that makes a property repeatable, or seeded for a longer run."""
+    chosen = context.config.userdata.get("seed")
+    rules = settings(
+        derandomize=chosen is None,
+        deadline=None,
+        max_examples=examples if chosen is None else examples * 10,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+
+    def decorate(check):
+        return rules(check if chosen is None else seed(int(chosen))(check))
+
+    return decorate
+
+
+def describe(step):
+    gap_ms, event, a, b = step
+    return f"{gap_ms} {event.__name__} {a} {b}"
+
+
+@given("entries that share targets over a simulated network, store and VM list")
+def given_world(context):
+    context.world = World
+
+
+@then("in {examples:d} generated histories of {entries:d} entries no requirement is broken")
+def then_no_requirement_is_broken(context, examples, entries):
+    @checked(context, examples)
+    @given_examples(histories(), st.integers(0, 1_000), st.sampled_from([0, 300, 900]))
+    def check(history, world_seed, lag_ms):
+        world = context.world(entries=entries, seed=world_seed, lag_ms=lag_ms)
+        world.run(WARM_UP_MS)
+        for gap_ms, event, a, b in history:
+            world.run(gap_ms)
+            event(world, a, b)
+        world.run(TAIL_MS)
+
+    check()
+
+
+@then("for an hour without the key-value service every entry uses every open target")
+def then_outage_does_not_stop_traffic(context):
+    world = context.world(entries=3, seed=1, lag_ms=0)
+    world.run(WARM_UP_MS)
+    world.stop_store(0, 0)
+    for second in range(3_600):
+        before = dict(world.sent)
+        world.run(1_000)
+        unused = [key for key in before if world.sent[key] == before[key]]
+        assert not unused, f"{unused} unused in second {second} of the outage"
