--- a/src/kingcupusher/_entry/prober.py
+++ b/src/kingcupusher/_entry/prober.py
@@ -11,7 +11,7 @@
 from kingcupusher._membership import Membership, Probe
 from kingcupusher._proxy.load_report import parse_load_report
 
-TICK_S = 0.1
+TICK_S = 0.25
 PROBE_TIMEOUT_MS = 1_000.0
 PROBE_PATH = "/health"
 LOAD_HEADER = b"x-target-load"
