Split the publisher and keep its answer true when a retry finds an error

An error of the document or a rejected call ended a publication with "nothing was changed" even if an earlier attempt of it had an unknown outcome; it now reports UNKNOWN in that case. A call that the platform rejects is no longer reported as an unavailable platform.

Changes, outcomes and the publisher are modules of their own.

--- a/src/kingcupusher/_cli/platform_calls.py
+++ b/src/kingcupusher/_cli/platform_calls.py
@@ -10,7 +10,7 @@
 from kingcupusher._cli.exits import ExitCode, fail
 from kingcupusher._config import ConfigError
 from kingcupusher._core.address import Address
-from kingcupusher._platform import PlatformError
+from kingcupusher._platform import PlatformError, RequestRejectedError
 
 T = TypeVar("T")
 
@@ -19,6 +19,12 @@
     """Run ``call(*arguments)`` and end the command if it fails."""
     try:
         result: T = curio.run(call, *arguments)
+    except RequestRejectedError as error:
+        fail(
+            f"the platform at {platform} rejected the call, nothing was changed: {error}",
+            fix="check that --platform names the key-value service and that the files are small",
+            code=ExitCode.INVALID,
+        )
     except PlatformError as error:
         fail(
             f"the platform at {platform} is not available, nothing was changed: {error}",
--- a/src/kingcupusher/_config/__init__.py
+++ b/src/kingcupusher/_config/__init__.py
@@ -28,7 +28,8 @@
     Service,
     TargetLimits,
 )
-from kingcupusher._config.publisher import Outcome, Publisher, PublishResult
+from kingcupusher._config.outcome import Outcome, PublishResult
+from kingcupusher._config.publisher import Publisher
 from kingcupusher._config.reconcile import Reconciled, newer_of, reconcile
 from kingcupusher._config.stored import CONFIG_KEY
 
--- a/src/kingcupusher/_config/publisher.py
+++ b/src/kingcupusher/_config/publisher.py
@@ -6,104 +6,26 @@
 import secrets
 import time
 from collections.abc import Awaitable, Callable, Iterable
-from enum import Enum
-from typing import Protocol
 
 import curio
-from msgspec import Struct
-
-from kingcupusher._config.document import (
-    SERVICE_ITEM,
-    ZONE_ITEM,
-    item_content,
-    merge_services,
-    with_zone_order,
-)
-from kingcupusher._config.errors import MergeError
+
+from kingcupusher._config.changes import Change, ServiceChange, ZoneChange, raced_items
+from kingcupusher._config.errors import ConfigError
 from kingcupusher._config.model import ConfigDocument, Service
+from kingcupusher._config.outcome import Outcome, PublishResult
 from kingcupusher._config.stored import ConfigStore, Stored, read_stored, write_stored
-from kingcupusher._platform import ConflictError, PlatformUnavailableError, UnknownOutcomeError
+from kingcupusher._platform import (
+    ConflictError,
+    PlatformUnavailableError,
+    RequestRejectedError,
+    UnknownOutcomeError,
+)
 
 ATTEMPTS = 12
 FIRST_PAUSE_S = 0.05
 LONGEST_PAUSE_S = 1.0
 
 
-class Outcome(Enum):
-    """What a publisher can truly say about its change.
-
-    ``IN_FORCE``: the store accepted it. ``UNCHANGED``: the store says the same already.
-    ``RACED``, ``BUSY`` and ``UNAVAILABLE``: nothing was changed, because others changed the same
-    items, because others came first each time, or because the store did not respond.
-    ``UNKNOWN``: a write was sent and what became of it cannot be told.
-    """
-
-    IN_FORCE = "in-force"
-    UNCHANGED = "unchanged"
-    RACED = "raced"
-    BUSY = "busy"
-    UNAVAILABLE = "unavailable"
-    UNKNOWN = "unknown"
-
-
-class PublishResult(Struct, frozen=True, kw_only=True):
-    """Outcome of one publication.
-
-    ``version`` is the version in force that the publisher saw last, None if it saw none.
-    ``raced_items`` are items that others changed in the meantime.
-    """
-
-    outcome: Outcome
-    publication_id: str
-    version: int | None
-    items: list[str]
-    raced_items: list[str] = []
-
-
-class Change(Protocol):
-    """A change that can be applied to whichever document turns out to be in force."""
-
-    @property
-    def items(self) -> list[str]:
-        """Items that the change sets."""
-
-    def apply(self, document: ConfigDocument, publication_id: str, at_ms: int) -> ConfigDocument:
-        """Return the next version, or ``document`` itself if it says the same already."""
-
-
-class ServiceChange(Struct, frozen=True):
-    """Adds or replaces services."""
-
-    services: list[Service]
-
-    @property
-    def items(self) -> list[str]:
-        """Items that the change sets."""
-        return sorted(SERVICE_ITEM + service.name for service in self.services)
-
-    def apply(self, document: ConfigDocument, publication_id: str, at_ms: int) -> ConfigDocument:
-        """Return the next version, or ``document`` itself if it says the same already."""
-        return merge_services(document, self.services, publication_id=publication_id, at_ms=at_ms)
-
-
-class ZoneChange(Struct, frozen=True):
-    """Takes a zone out or in."""
-
-    zone: str
-    out: bool
-
-    @property
-    def items(self) -> list[str]:
-        """Items that the change sets."""
-        return [ZONE_ITEM + self.zone]
-
-    def apply(self, document: ConfigDocument, publication_id: str, at_ms: int) -> ConfigDocument:
-        """Return the next version, or ``document`` itself if it says the same already."""
-        return with_zone_order(
-            document, self.zone, out=self.out, publication_id=publication_id, at_ms=at_ms
-        )
-
-
 async def pause_before(attempt: int) -> None:
     """Wait for a random time that grows with each attempt, so that racing publishers spread."""
     longest_s = min(FIRST_PAUSE_S * 2**attempt, LONGEST_PAUSE_S)
@@ -153,19 +75,19 @@
         return await self._publish(ZoneChange(zone, out))
 
     async def _publish(self, change: Change) -> PublishResult:
-        attempt = _Attempt(self._store, change, self._new_id(), self._wall_ms())
-        for number in range(self._attempts):
-            outcome = await attempt.run()
+        publication = _Publication(self._store, change, self._new_id(), self._wall_ms())
+        for attempt in range(self._attempts):
+            outcome = await publication.attempt()
             if outcome is not None:
-                return attempt.result(outcome)
-            await self._pause(number)
-        return attempt.result(attempt.last_failure)
+                return publication.result(outcome)
+            await self._pause(attempt)
+        return publication.result(publication.last_failure)
 
 
-class _Attempt:
-    """Progress of one publication over several tries with the same publication id.
+class _Publication:
+    """Progress of one publication over several attempts with the same publication id.
 
-    The id stays the same so that at most one of the tries takes effect as this publication.
+    With one id for all attempts, finding it in the document proves that one took effect.
     """
 
     __slots__ = (
@@ -201,8 +123,16 @@
             raced_items=self._raced_items,
         )
 
-    async def run(self) -> Outcome | None:
-        """Read, merge and write once; return None if another try may succeed."""
+    async def attempt(self) -> Outcome | None:
+        """Read, merge and write once; return None if another attempt may succeed."""
+        try:
+            return await self._read_and_write()
+        except (ConfigError, RequestRejectedError):
+            if self._unresolved:
+                return Outcome.UNKNOWN
+            raise
+
+    async def _read_and_write(self) -> Outcome | None:
         try:
             stored = await read_stored(self._store)
         except PlatformUnavailableError:
@@ -210,12 +140,7 @@
         self._version = stored.document.version
         if self._is_recorded_in(stored.document):
             return Outcome.IN_FORCE
-        try:
-            after = self._change.apply(stored.document, self._publication_id, self._at_ms)
-        except MergeError:
-            if self._unresolved:
-                return Outcome.UNKNOWN
-            raise
+        after = self._change.apply(stored.document, self._publication_id, self._at_ms)
         if after is stored.document:
             return Outcome.UNCHANGED
         if self._lost_race(stored.document):
@@ -240,19 +165,13 @@
         return any(entry.publication_id == self._publication_id for entry in document.history)
 
     def _lost_race(self, document: ConfigDocument) -> bool:
-        """Return whether others changed an item of this publication since the first try."""
-        if self._base is None:
-            return False
-        before = self._base
-        self._raced_items = [
-            item
-            for item in self._change.items
-            if item_content(before, item) != item_content(document, item)
-        ]
+        """Return whether others changed an item of this publication since the attempt before."""
+        if self._base is not None:
+            self._raced_items = raced_items(self._change, self._base, document)
         return bool(self._raced_items)
 
     def _retry_after(self, outcome: Outcome) -> Outcome | None:
-        """Record the outcome to report if there is no other try."""
+        """Record the outcome to report if there is no other attempt."""
         self.last_failure = self._ended(outcome)
         return None
 
--- a/testing/features/steps/reconcile_steps.py
+++ b/testing/features/steps/reconcile_steps.py
@@ -15,9 +15,11 @@
     with_zone_order,
 )
 from kingcupusher._config.document import item_content
+from kingcupusher._core import Registry
 from testing.config_model import ids_of
 from testing.properties import check_property
 
+GUARANTEES = Registry("guarantee")
 ITEMS = ["service/lookups", "service/postings", "service/exports", "zone/north"]
 PUBLICATIONS = st.lists(
     st.tuples(st.sampled_from(ITEMS), st.integers(0, 5), st.integers(0, 50)), max_size=4
@@ -53,64 +55,55 @@
 
 @given("two lines of publications from a common base, with publisher clocks that differ")
 def given_lines(context):
-    def check(guarantee):
-        def prop(first, left, right):
-            base = extend(ConfigDocument(), "base", first)
-            guarantee(base, extend(base, "left", left), extend(base, "right", right))
+    context.strategies = dict.fromkeys(["first", "left", "right"], PUBLICATIONS)
 
-        check_property(context, prop, first=PUBLICATIONS, left=PUBLICATIONS, right=PUBLICATIONS)
 
-    context.check = check
+@then("for all lines")
+def then_for_all_lines(context):
+    guarantees = [GUARANTEES.get(row["guarantee"]) for row in context.table]
 
+    def prop(first, left, right):
+        base = extend(ConfigDocument(), "base", first)
+        lines = extend(base, "left", left), extend(base, "right", right)
+        for guarantee in guarantees:
+            guarantee(base, *lines)
 
-@then("the combination contains every publication and has the highest version")
-def then_contains_all(context):
-    def guarantee(_base, left, right):
-        combined = reconcile(left, right).document
-        assert ids_of(combined) >= ids_of(left) | ids_of(right)
-        assert combined.version >= max(left.version, right.version)
-        assert combined in (left, right) or combined.version > max(left.version, right.version)
+    check_property(context, prop, **context.strategies)
 
-    context.check(guarantee)
 
+@GUARANTEES.register("the combination contains every publication and has the highest version")
+def contains_all(_base, left, right):
+    combined = reconcile(left, right).document
+    highest = max(left.version, right.version)
+    assert ids_of(combined) >= ids_of(left) | ids_of(right)
+    assert combined.version >= highest
+    assert combined in (left, right) or combined.version > highest
 
-@then("it is the same whichever line is in force")
-def then_symmetric(context):
-    def guarantee(_base, left, right):
-        assert reconcile(left, right).document == reconcile(right, left).document
 
-    context.check(guarantee)
+@GUARANTEES.register("it is the same whichever line is in force")
+def is_symmetric(_base, left, right):
+    assert reconcile(left, right).document == reconcile(right, left).document
 
 
-@then("an item that one line changed has the content of that line")
-def then_one_sided(context):
-    def guarantee(base, left, right):
-        combined = reconcile(left, right).document
-        for item in changed(left, base) - changed(right, base):
-            assert item_content(combined, item) == item_content(left, item)
+@GUARANTEES.register("an item that one line changed has the content of that line")
+def keeps_one_sided_changes(base, left, right):
+    combined = reconcile(left, right).document
+    for item in changed(left, base) - changed(right, base):
+        assert item_content(combined, item) == item_content(left, item)
 
-    context.check(guarantee)
 
+@GUARANTEES.register("an item that both lines changed has the content published later")
+def keeps_later_changes(base, left, right):
+    combined = reconcile(left, right).document
+    for item in changed(left, base) & changed(right, base):
+        later = max(left, right, key=lambda document: last_time(document, item))
+        assert item_content(combined, item) == item_content(later, item)
 
-@then("an item that both lines changed has the content published later")
-def then_later_wins(context):
-    def guarantee(base, left, right):
-        combined = reconcile(left, right).document
-        for item in changed(left, base) & changed(right, base):
-            later = max(left, right, key=lambda document: last_time(document, item))
-            assert item_content(combined, item) == item_content(later, item)
 
-    context.check(guarantee)
-
-
-@then("a peer's document is taken only if it is higher and lacks nothing")
-def then_newer(context):
-    def guarantee(_base, left, right):
-        chosen = newer_of(left, right)
-        is_newer = right.version > left.version and ids_of(right) >= ids_of(left)
-        assert chosen is (right if is_newer else left)
-
-    context.check(guarantee)
+@GUARANTEES.register("a peer's document is taken only if it is higher and lacks nothing")
+def takes_only_newer(_base, left, right):
+    is_newer = right.version > left.version and ids_of(right) >= ids_of(left)
+    assert newer_of(left, right) is (right if is_newer else left)
 
 
 @given('a service "{name}" that one line gave the host "{host}" at {at_ms:d}')
