Change single VMs by the control port and slow down responses too

A demonstration wants to mark one VM as leaving without sending the whole list; the control port takes PUT and DELETE of /vms/ID.

Removing the rule that a lease counts from before its call was sent was not seen by any test, because the slow fault delayed only the request. Half of the delay now falls on the response, and the lease scenario fails without the rule.

--- a/src/kingcupusher/_config/stored.py
+++ b/src/kingcupusher/_config/stored.py
@@ -32,7 +32,11 @@
 
 async def read_stored(store: ConfigStore) -> Stored:
     """Return the stored document; an empty one of version 0 if there is none."""
-    value = await store.get(CONFIG_KEY)
+    return stored_from(await store.get(CONFIG_KEY))
+
+
+def stored_from(value: VersionedValue | None) -> Stored:
+    """Return the document in the value of the key; an empty one of version 0 if it is None."""
     if value is None:
         return Stored(ConfigDocument(), 0)
     return Stored(decode_document(value.value), value.revision)
--- a/standins/platform/control.py
+++ b/standins/platform/control.py
@@ -77,6 +77,25 @@
     return json_response({})
 
 
+@routes.add("PUT", "/vms/*", "vm")
+async def _set_vm(platform: Platform, call: Call) -> Response:
+    changed = call.json(Vm)
+    if changed.vm_id != call.name:
+        raise BadRequestError(f"vm_id is {changed.vm_id!r} but the path names {call.name!r}")
+    platform.vms.set([*_other_vms(platform, call.name), changed], now_ms=now_ms())
+    return json_response({})
+
+
+@routes.add("DELETE", "/vms/*", "vm")
+async def _delete_vm(platform: Platform, call: Call) -> Response:
+    platform.vms.set(_other_vms(platform, call.name), now_ms=now_ms())
+    return json_response({})
+
+
+def _other_vms(platform: Platform, vm_id: str) -> list[Vm]:
+    return [vm for vm in platform.vms.latest() if vm.vm_id != vm_id]
+
+
 @routes.add("GET", "/counts", "counts")
 async def _counts(platform: Platform, _call: Call) -> Response:
     return json_response(Counts(platform.counts.total(), dict(platform.counts)))
--- a/standins/platform/faults.py
+++ b/standins/platform/faults.py
@@ -17,7 +17,11 @@
 
 
 class Faults(Struct, forbid_unknown_fields=True):
-    """Faults in effect; ``drop_put_responses`` counts down with each put that took effect."""
+    """Faults in effect.
+
+    Half of ``slow_ms`` passes before a call takes effect and half before its response.
+    ``drop_put_responses`` counts down with each put that took effect.
+    """
 
     outage: Outage = Outage.NONE
     slow_ms: Annotated[int, Meta(ge=0)] = 0
--- a/standins/platform/service.py
+++ b/standins/platform/service.py
@@ -87,8 +87,14 @@
 
 
 async def _run(platform: Platform, match: Match[Platform]) -> Response:
-    if platform.faults.slow_ms:
-        await curio.sleep(platform.faults.slow_ms / 1000.0)
+    half_delay_s = platform.faults.slow_ms / 2000.0
+    await curio.sleep(half_delay_s)
+    response = await _respond(platform, match)
+    await curio.sleep(half_delay_s)
+    return response
+
+
+async def _respond(platform: Platform, match: Match[Platform]) -> Response:
     await platform.expire_leases()
     try:
         await _fail_in_outage(platform)
--- a/standins/platform/vms.py
+++ b/standins/platform/vms.py
@@ -42,6 +42,10 @@
         """Replace the list; callers see it after the lag."""
         self._versions.append(_Version(now_ms + self._lag_ms, vms))
 
+    def latest(self) -> list[Vm]:
+        """Return the list that was set last."""
+        return self._versions[-1].vms
+
     def visible(self, *, now_ms: float) -> list[Vm]:
         """Return the list that callers see at ``now_ms``."""
         while len(self._versions) > 1 and self._versions[1].visible_ms <= now_ms:
--- a/testing/features/platform.feature
+++ b/testing/features/platform.feature
@@ -24,7 +24,7 @@
 
   Scenario: A lease ends no earlier than its deadline and takes its keys along
     Given a running platform where "key" has been written
-    When a key is attached to a lease of 300 ms that is renewed once after 200 ms
+    When a key is attached to a lease of 500 ms that is renewed once while calls take 200 ms
     Then the key is there until the deadline and a watch sees it disappear
 
   Scenario: A watch sees a rewound store
@@ -35,5 +35,5 @@
 
   Scenario: The VM list lags
     Given a running platform with a VM list lag of 300 ms
-    When a VM is added
-    Then the VM list shows it only after the lag
+    When a VM is added beside one with an unusable address
+    Then the VM list shows only the first one, and only after the lag
--- a/testing/features/steps/platform_steps.py
+++ b/testing/features/steps/platform_steps.py
@@ -99,18 +99,25 @@
     assert curio.run(context.client.get, "key").revision == revision
 
 
-@when("a key is attached to a lease of {ttl_ms:d} ms that is renewed once after {after_ms:d} ms")
-def when_attached(context, ttl_ms, after_ms):
+@when(
+    "a key is attached to a lease of {ttl_ms:d} ms that is renewed once while calls take"
+    " {slow_ms:d} ms"
+)
+def when_attached(context, ttl_ms, slow_ms):
     async def attach_and_wait():
         lease = await context.client.grant_lease(ttl_ms)
         revision = await context.client.put(
             "members/1", b"", expected_revision=0, lease_id=lease.lease_id
         )
-        await curio.sleep(after_ms / 1_000)
+        await set_faults(context, {"slow_ms": slow_ms})
         lease = await context.client.renew_lease(lease)
+        await set_faults(context, {})
         seen = await context.client.watch("members/", after_revision=revision, timeout_ms=2_000)
         return lease.deadline_ms, now_ms(), seen
 
+    async def set_faults(context, faults):
+        await context.platform.send("PUT", "/faults", msgspec.json.encode(faults))
+
     context.deadline_ms, context.gone_ms, context.seen = curio.run(attach_and_wait)
 
 
@@ -147,12 +154,13 @@
     assert context.platform.control("GET", "/counts") == {"total": 1, "by_operation": {"watch": 1}}
 
 
-@when("a VM is added")
+@when("a VM is added beside one with an unusable address")
 def when_vm_added(context):
     context.platform.control("PUT", "/vms", [VM])
+    context.platform.control("PUT", "/vms/vm-2", {**VM, "vm_id": "vm-2", "address": "host:1"})
 
 
-@then("the VM list shows it only after the lag")
+@then("the VM list shows only the first one, and only after the lag")
 def then_lagging(context):
     vm_list = VmListClient(context.platform.address)
     assert curio.run(vm_list.read) == []
