--- /dev/null
+++ b/bench/deployment.py
@@ -0,0 +1,221 @@
+"""A deployment of one service for measurements, with warm targets."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from pathlib import Path
+
+import curio
+from msgspec import Struct
+
+from bench.usage import cpu_us
+from kingcupusher._core import now_ms
+from kingcupusher._core.address import Address
+from standins.cluster import Cluster, TargetNode
+from standins.load.plan import PlanSettings
+from standins.load.process import LoadOptions, LoadProcess, LoadResult
+from standins.processes import ProcessGroup
+from standins.target.ledger import Execution
+
+ZONES = ("zone-a", "zone-b", "zone-c")
+SERVICE = "lookups"
+BULK = "exports"
+# Targets that no entry knows; loads go straight to them.
+DIRECT = "direct"
+TARGETS = 12
+SLOTS = 3
+BULK_TARGETS = 3
+DIRECT_TARGETS = 3
+DIRECT_SLOTS = 50
+
+# 36 slots of 100 ms serve 360 requests/s, which is about the rate of one service in section 1.3;
+# all processes together then use about one core, and the path itself adds 2 % to the p99.
+SERVICE_TIME_MS = 100.0
+
+TIMEOUT_MS = 10_000.0
+WARM_TIMEOUT_S = 30.0
+WARM_REQUESTS = 100_000
+WARM_RATE_PER_S = 100.0
+WARM_WORK_MS = 5.0
+
+# The targets of the benchmark start warm, and only the entries have to find that out.
+WARMUP_MS = 1_000
+SERVICE_FILE = """\
+name = "{name}"
+team = "bench"
+hosts = ["{name}.example"]
+priority = "{priority}"
+
+[target]
+slots = {slots}
+connections = 200
+cold_concurrency = 1
+warmup_ms = {warmup_ms}
+probes_per_s = 0.2
+
+[request]
+timeout_ms = 10_000
+queue_length = 1000
+queue_bytes = 10_000_000
+retry_percent = 10.0
+"""
+
+
+class Usage(Struct, frozen=True):
+    """Readings of entries and targets at one instant."""
+
+    at_ms: float
+    entry_cpu_us: float
+    control_bytes: int
+    probes: int
+    platform_calls: int
+
+
+class Cost(Struct, frozen=True, kw_only=True):
+    """What was spent between two readings."""
+
+    elapsed_s: float
+    cpu_us: float
+    probes_per_target_s: float
+    control_bytes_per_s: float
+    platform_calls_per_s: float
+
+
+class Deployment:
+    """Entries and targets of one service, all on the same machine."""
+
+    __slots__ = ("_entry_count", "_policy", "cluster", "group")
+
+    def __init__(self, group: ProcessGroup, *, entries: int, policy: str) -> None:
+        self.group = group
+        self.cluster = Cluster(group, zones=ZONES)
+        self._entry_count = entries
+        self._policy = policy
+
+    def start(self) -> None:
+        """Start all processes and wait until every entry uses every target."""
+        options = ("--queue-length", "100", "--start-warm", "--warmup-ms", str(WARMUP_MS))
+        self.cluster.start_targets(SERVICE, TARGETS, "--slots", str(SLOTS), *options)
+        self.cluster.start_targets(BULK, BULK_TARGETS, "--slots", str(SLOTS), *options)
+        self.cluster.start_targets(DIRECT, DIRECT_TARGETS, "--slots", str(DIRECT_SLOTS), *options)
+        self.cluster.wait_targets()
+        self.cluster.publish(
+            [
+                self._write_service_file(SERVICE, priority="interactive"),
+                self._write_service_file(BULK, priority="bulk"),
+            ]
+        )
+        self.cluster.publish_vms()
+        self.cluster.start_entries(self._entry_count, "--policy", self._policy)
+        self.cluster.wait_entries()
+        self._warm_up()
+
+    @property
+    def targets(self) -> list[TargetNode]:
+        """Targets that the entries use."""
+        return self.cluster.targets_of(SERVICE)
+
+    def _write_service_file(self, name: str, *, priority: str) -> Path:
+        path = self.group.directory / f"{name}.toml"
+        text = SERVICE_FILE.format(name=name, priority=priority, slots=SLOTS, warmup_ms=WARMUP_MS)
+        path.write_text(text, encoding="utf-8")
+        return path
+
+    def _warm_up(self) -> None:
+        plan = PlanSettings(
+            seed=0, rate_per_s=WARM_RATE_PER_S, requests=WARM_REQUESTS, service_time_ms=WARM_WORK_MS
+        )
+        load = self.start_load("warm-up", plan)
+        self.cluster.wait_until(
+            "all targets are open",
+            lambda: self.cluster.all_open(self.targets),
+            timeout_s=WARM_TIMEOUT_S,
+        )
+        load.stop()
+
+    def start_load(
+        self,
+        name: str,
+        plan: PlanSettings,
+        *,
+        service: str = SERVICE,
+        entries: Sequence[Address] = (),
+    ) -> LoadProcess:
+        """Start sending a plan to ``entries``, or to all entries."""
+        targets = self.cluster.targets_of(service)
+        options = LoadOptions(
+            entries=list(entries) or [entry.caller for entry in self.cluster.entries],
+            host=host_of(service),
+            plan=plan,
+            timeout_ms=TIMEOUT_MS,
+            target_controls=[target.control.address for target in targets],
+        )
+        return LoadProcess(self.group, name, options)
+
+    def start_direct_load(self, name: str, plan: PlanSettings) -> LoadProcess:
+        """Start sending a plan straight to the targets that no entry knows."""
+        direct = [target.address for target in self.cluster.targets_of(DIRECT)]
+        options = LoadOptions(
+            entries=direct, host=host_of(DIRECT), plan=plan, timeout_ms=TIMEOUT_MS
+        )
+        return LoadProcess(self.group, name, options)
+
+    def read_usage(self) -> Usage:
+        """Read what all entries have used until now."""
+        entries = self.cluster.entries
+        return Usage(
+            at_ms=now_ms(),
+            entry_cpu_us=sum(cpu_us(entry.process.pid) for entry in entries),
+            control_bytes=sum(s.peer_bytes_sent for s in self.cluster.entry_statuses()),
+            probes=sum(s.counters.probes for s in self.cluster.statuses(self.targets)),
+            platform_calls=curio.run(self.cluster.platform.control.counts).total,
+        )
+
+    def cost(self, before: Usage, after: Usage) -> Cost:
+        """Return the cost between two readings; bytes and calls are those of one entry."""
+        elapsed_s = (after.at_ms - before.at_ms) / 1000.0
+        entry_s = elapsed_s * len(self.cluster.entries)
+        return Cost(
+            elapsed_s=elapsed_s,
+            cpu_us=after.entry_cpu_us - before.entry_cpu_us,
+            probes_per_target_s=round((after.probes - before.probes) / TARGETS / elapsed_s, 4),
+            control_bytes_per_s=round((after.control_bytes - before.control_bytes) / entry_s, 1),
+            platform_calls_per_s=round((after.platform_calls - before.platform_calls) / entry_s, 2),
+        )
+
+    def executions(self, zone: str) -> list[Execution]:
+        """Return all executions of the service in a zone."""
+        controls = [target.control for target in self.targets if target.vm.zone == zone]
+        return [e for control in controls for e in curio.run(control.executions)]
+
+
+def host_of(service: str) -> str:
+    """Return the host name under which callers reach a service."""
+    return f"{service}.example"
+
+
+def slot_plan(*, seed: int, utilisation: float, duration_s: float) -> PlanSettings:
+    """Return a plan that uses a share of the slot capacity of the service."""
+    rate_per_s = utilisation * TARGETS * SLOTS * 1000.0 / SERVICE_TIME_MS
+    return PlanSettings(
+        seed=seed,
+        rate_per_s=rate_per_s,
+        requests=int(rate_per_s * duration_s),
+        service_time_ms=SERVICE_TIME_MS,
+        non_idempotent_share=0.2,
+    )
+
+
+def errors(result: LoadResult) -> int:
+    """Return the number of requests that were not answered whole."""
+    return result.summary.requests - result.summary.whole
+
+
+def sent_late_share(result: LoadResult) -> float:
+    """Return the share of requests that the load tool took up late."""
+    return round(result.summary.sent_late / max(1, result.summary.requests), 4)
+
+
+def duplicates(result: LoadResult) -> int:
+    """Return the number of non-idempotent requests that ran more than once."""
+    return result.summary.executions.duplicates if result.summary.executions else 0
