Wait in the admission queue of the limits package

Cause: the request path had a queue of its own while _limits was being written.

Weighed: AdmissionQueue cannot remove a request whose caller has gone, and such requests would refuse new ones. They are left out when an offer fails, by building the queue anew; passing them over when a place is free covers the rest. Services are served in the order of their priority. A changed service file applies its bounds to requests that wait already.

Conclusion: the thin adapter is gone.

--- a/src/kingcupusher/_proxy/proxy.py
+++ b/src/kingcupusher/_proxy/proxy.py
@@ -9,7 +9,6 @@
 from kingcupusher._http.heads import RequestHead
 from kingcupusher._http.listener import Listener
 from kingcupusher._http.server_connection import ServerConnection, ServerLimits
-from kingcupusher._proxy.admission import QueueFactory, fifo_queue
 from kingcupusher._proxy.classify import classify
 from kingcupusher._proxy.directory import Directory
 from kingcupusher._proxy.errors import RejectedError
@@ -30,13 +29,12 @@
         self,
         directory: Directory,
         *,
-        queue_factory: QueueFactory = fifo_queue,
         limits: ServerLimits | None = None,
     ) -> None:
         self._directory = directory
         self._limits = limits or ServerLimits()
         self._listeners: list[Listener] = []
-        self._waiting = WaitingRoom(directory, queue_factory)
+        self._waiting = WaitingRoom(directory)
 
     def listen(self, address: Address) -> Listener:
         """Open a listening socket; with port 0 the system chooses the port."""
--- a/src/kingcupusher/_proxy/waiting.py
+++ b/src/kingcupusher/_proxy/waiting.py
@@ -8,41 +8,30 @@
 from kingcupusher._core import now_ms
 from kingcupusher._http.errors import CallerGoneError
 from kingcupusher._http.server_connection import ServerConnection
-from kingcupusher._proxy.admission import Queue, QueueFactory, Waiter
+from kingcupusher._proxy.admission import ServiceQueue, Waiter
 from kingcupusher._proxy.classify import ProxyRequest
 from kingcupusher._proxy.directory import Directory, NotSentEvent
 
 
-class _ServiceQueue:
-    """A service that has or had waiting requests, with its queue."""
-
-    __slots__ = ("queue", "service")
-
-    def __init__(self, service: Service, queue: Queue) -> None:
-        self.service = service
-        self.queue = queue
-
-
 class WaitingRoom:
     """The waiting requests of all services."""
 
-    __slots__ = ("_directory", "_factory", "_has_waiters", "_queues")
+    __slots__ = ("_directory", "_has_waiters", "_queues")
 
-    def __init__(self, directory: Directory, factory: QueueFactory) -> None:
+    def __init__(self, directory: Directory) -> None:
         self._directory = directory
-        self._factory = factory
-        self._queues: dict[str, _ServiceQueue] = {}
+        self._queues: dict[str, ServiceQueue] = {}
         self._has_waiters = curio.Event()
 
     def has_waiters(self, service: Service) -> bool:
         """Return whether a request for ``service`` waits; a new one must not overtake it."""
-        entry = self._queues.get(service.name)
-        return entry is not None and len(entry.queue) > 0
+        queue = self._queues.get(service.name)
+        return queue is not None and len(queue) > 0
 
     @property
     def count(self) -> int:
         """Number of waiting requests of all services."""
-        return sum(len(entry.queue) for entry in self._queues.values())
+        return sum(len(queue) for queue in self._queues.values())
 
     async def wait_for_waiters(self) -> None:
         """Wait until a request waits, so that an idle process need not wake up regularly."""
@@ -56,16 +45,9 @@
         """Wait for a place; return its target, or ``None`` at once if the queue is full."""
         if caller.is_gone:
             raise CallerGoneError("the caller closed before its request waited")
-        waiter = Waiter()
+        waiter = Waiter(size_bytes=size_bytes, deadline_ms=request.deadline_ms)
         service = request.service
-        accepted = self._queue(service).offer(
-            waiter,
-            size_bytes=size_bytes,
-            deadline_ms=request.deadline_ms,
-            priority=service.priority,
-            now_ms=now_ms(),
-        )
-        if not accepted:
+        if not self._queue(service).offer(waiter, now_ms=now_ms()):
             return None
         await self._has_waiters.set()
         caller.on_gone = waiter.give_up
@@ -83,49 +65,41 @@
         return waiter.target_id
 
     def _give_back(self, waiter: Waiter, service: Service) -> None:
-        if waiter.target_id is None:
-            return
-        event = NotSentEvent(
-            service=service.name, target_id=waiter.target_id, at_ms=now_ms(), elapsed_ms=0.0
-        )
-        self._directory.report(event)
+        if waiter.target_id is not None:
+            self._give_back_place(waiter.target_id, service)
 
-    def _queue(self, service: Service) -> Queue:
-        entry = self._queues.get(service.name)
-        if entry is None:
-            entry = _ServiceQueue(service, self._factory(service))
-            self._queues[service.name] = entry
-        entry.service = service
-        return entry.queue
+    def _queue(self, service: Service) -> ServiceQueue:
+        queue = self._queues.get(service.name)
+        if queue is None:
+            queue = ServiceQueue(service)
+            self._queues[service.name] = queue
+        queue.update(service)
+        return queue
 
     async def pump_all(self) -> None:
-        """Give places to the waiters of all services."""
-        for entry in list(self._queues.values()):
-            await self._pump(entry)
+        """Give places to the waiters of all services, by priority."""
+        for queue in sorted(self._queues.values(), key=lambda queue: queue.order):
+            await self._pump(queue)
 
     async def pump(self, service: Service) -> None:
         """Give places to the waiters of ``service``."""
-        entry = self._queues.get(service.name)
-        if entry is not None:
-            await self._pump(entry)
+        queue = self._queues.get(service.name)
+        if queue is not None:
+            await self._pump(queue)
 
-    async def _pump(self, entry: _ServiceQueue) -> None:
-        while len(entry.queue) > 0:
+    async def _pump(self, queue: ServiceQueue) -> None:
+        while len(queue) > 0:
             current_ms = now_ms()
-            target_id = self._directory.choose(entry.service, now_ms=current_ms, exclude=())
+            target_id = self._directory.choose(queue.service, now_ms=current_ms, exclude=())
             if target_id is None:
-                return
-            waiter = self._take(entry.queue, current_ms)
-            if waiter is None:
-                self._give_back_place(target_id, entry.service)
-                return
-            await waiter.grant(target_id)
-
-    def _take(self, queue: Queue, current_ms: float) -> Waiter | None:
-        waiter = queue.take(now_ms=current_ms)
-        while waiter is not None and waiter.is_gone:
+                break
             waiter = queue.take(now_ms=current_ms)
-        return waiter
+            if waiter is None:
+                self._give_back_place(target_id, queue.service)
+            else:
+                await waiter.grant(target_id)
+        for waiter in queue.expire(now_ms=now_ms()):
+            await waiter.refuse()
 
     def _give_back_place(self, target_id: str, service: Service) -> None:
         event = NotSentEvent(
