Prove the limits by properties and bound what a queue keeps

The properties found two faults. Items that expired or were displaced but not yet collected by expire were not bounded; offers are now refused while as many as the bounds allow are waiting for collection. A new retry budget earned no floor before its first event, so a first failure long after the start was not retried; it now starts with one second of its floor.

Properties: hypothesis in behave features, derandomized, 200 examples each, no time bounds. Each was seen to fail with its mechanism removed: retries (credit check, cap on saved credit, refill), probes (spacing, empty start of a new owner), ramp (first step, fall-back, doubling, warm-up time), queue (count bound, byte bound, expiry check, priority order, arrival order, displacement, bound on uncollected items, expired items kept), shares (rounding down). A cap on the credit of a single instant survived and was removed: every later event applies the same cap.

--- a/src/kingcupusher/_limits/admission.py
+++ b/src/kingcupusher/_limits/admission.py
@@ -21,7 +21,8 @@
 
     When it is full, an offer displaces the newest items of the lowest priority below its own, so
     that a flood of bulk requests does not refuse interactive ones. Displaced and expired items
-    come out of :meth:`expire`; their callers are told that the request was not run.
+    come out of :meth:`expire`; their callers are told that the request was not run. Offers are
+    refused while as many of them as the bounds allow have not been collected.
     """
 
     __slots__ = ("_bytes", "_length", "_levels", "_max_bytes", "_max_length", "_removed")
@@ -30,7 +31,7 @@
         self._max_length = max_length
         self._max_bytes = max_bytes
         self._levels: dict[int, deque[_Waiting[T]]] = {}
-        self._removed: list[T] = []
+        self._removed: list[_Waiting[T]] = []
         self._length = 0
         self._bytes = 0
 
@@ -46,7 +47,7 @@
         self, item: T, *, size_bytes: int, deadline_ms: float, priority: int, now_ms: float
     ) -> bool:
         """Append an item; return False if it is late or there is no room for it."""
-        if deadline_ms <= now_ms or size_bytes > self._max_bytes or not self._max_length:
+        if deadline_ms <= now_ms or self._has_backlog():
             return False
         if not self._fits(size_bytes):
             self._drop_expired(now_ms)
@@ -66,14 +67,18 @@
                 waiting = self._release(level.popleft())
                 if waiting.deadline_ms > now_ms:
                     return waiting.item
-                self._removed.append(waiting.item)
+                self._removed.append(waiting)
         return None
 
     def expire(self, *, now_ms: float) -> list[T]:
         """Remove and return the items that expired or were displaced since the last call."""
         self._drop_expired(now_ms)
         removed, self._removed = self._removed, []
-        return removed
+        return [waiting.item for waiting in removed]
+
+    def _has_backlog(self) -> bool:
+        removed_bytes = sum(waiting.size_bytes for waiting in self._removed)
+        return len(self._removed) >= self._max_length or removed_bytes > self._max_bytes
 
     def _fits(self, size_bytes: int) -> bool:
         return self._length < self._max_length and self._bytes + size_bytes <= self._max_bytes
@@ -88,7 +93,7 @@
             expired = [waiting for waiting in level if waiting.deadline_ms <= now_ms]
             if not expired:
                 continue
-            self._removed.extend(self._release(waiting).item for waiting in expired)
+            self._removed.extend(self._release(waiting) for waiting in expired)
             alive = [waiting for waiting in level if waiting.deadline_ms > now_ms]
             level.clear()
             level.extend(alive)
@@ -102,5 +107,5 @@
         while not self._fits(size_bytes):
             while not lower[-1]:
                 lower.pop()
-            self._removed.append(self._release(lower[-1].pop()).item)
+            self._removed.append(self._release(lower[-1].pop()))
         return True
--- a/src/kingcupusher/_limits/retry.py
+++ b/src/kingcupusher/_limits/retry.py
@@ -23,13 +23,13 @@
         self._per_request = percent / 100.0
         self._floor_per_ms = floor_per_s / 1000.0
         self._max_credit = max(1.0, floor_per_s)
-        self._credit = min(1.0, floor_per_s)
+        self._credit = self._max_credit if floor_per_s else 0.0
         self._updated_ms: float | None = None
 
     def on_request(self, *, now_ms: float) -> None:
-        """Count a first attempt."""
+        """Count a first attempt; credit above the most that is saved lapses with the instant."""
         self._refill(now_ms)
-        self._credit = min(self._max_credit, self._credit + self._per_request)
+        self._credit += self._per_request
 
     def try_spend(self, *, now_ms: float) -> bool:
         """Return True, and count the retry, if the budget has room for it."""
