--- a/src/kingcupusher/_entry/directory.py
+++ b/src/kingcupusher/_entry/directory.py
@@ -305,7 +305,7 @@
 
 
 def _route_cancel(router: ServiceRouter, event: TargetEvent) -> None:
-    router.on_cancel(event.target_id)
+    router.on_cancelled(event.target_id, now_ms=event.at_ms)
 
 
 def _note_response(table: TargetTable, event: TargetEvent) -> None:
