--- a/src/kingcupusher/_peers/hub.py
+++ b/src/kingcupusher/_peers/hub.py
@@ -110,10 +110,15 @@
         # A newer link replaces an older one: the peer dials again only after it gave that up.
         self._links[link.seat] = link
         await self.inbound.put(PeerConnected(connection.peer))
+        reason = "stopped"
         try:
             await link.run()
         except LinkClosedError as error:
-            await self.inbound.put(PeerDisconnected(connection.peer, str(error)))
+            reason = str(error)
         finally:
-            if self._links.get(link.seat) is link:
+            is_current = self._links.get(link.seat) is link
+            if is_current:
                 del self._links[link.seat]
+        # The end of a link that was replaced says nothing about the peer.
+        if is_current:
+            await self.inbound.put(PeerDisconnected(connection.peer, reason))
--- a/src/kingcupusher/_peers/link.py
+++ b/src/kingcupusher/_peers/link.py
@@ -15,17 +15,27 @@
 # Two heartbeats a second and the notices of a zone that goes out fit; a longer queue means
 # that the peer does not read.
 QUEUE_LENGTH = 512
+# A few configuration documents of the largest size; control may use 32 MB in all.
+QUEUE_BYTES = 4_000_000
 
 
 class Link:
     """Exchanges messages with one peer until it closes or sends no heartbeat for 2 s."""
 
-    __slots__ = ("_connection", "_inbound", "_outgoing", "_silent_at_ms", "_stalled")
+    __slots__ = (
+        "_connection",
+        "_inbound",
+        "_outgoing",
+        "_queued_bytes",
+        "_silent_at_ms",
+        "_stalled",
+    )
 
     def __init__(self, connection: Connection, *, inbound: curio.Queue) -> None:
         self._connection = connection
         self._inbound = inbound
         self._outgoing = curio.Queue(maxsize=QUEUE_LENGTH)
+        self._queued_bytes = 0
         self._silent_at_ms = now_ms() + SILENCE_MS
         self._stalled = False
 
@@ -36,9 +46,11 @@
 
     async def send(self, data: bytes) -> bool:
         """Queue one encoded message; False if the queue is full and the link must close."""
-        if self._stalled or self._outgoing.full():
+        if self._outgoing.full() or self._queued_bytes + len(data) > QUEUE_BYTES:
             self._stalled = True
+        if self._stalled:
             return False
+        self._queued_bytes += len(data)
         await self._outgoing.put(data)
         return True
 
@@ -76,6 +88,8 @@
     async def _write(self) -> None:
         try:
             while True:
-                await self._connection.send(await self._outgoing.get())
+                data = await self._outgoing.get()
+                await self._connection.send(data)
+                self._queued_bytes -= len(data)
         except LinkClosedError:
             self._stalled = True
