--- a/src/kingcupusher/_routing/view.py
+++ b/src/kingcupusher/_routing/view.py
@@ -55,4 +55,7 @@
 
 
 REPORT_GAIN = 0.1
-"""Weight of one report in the average; 0.02 to 0.2 gave the same p99 within 0.02."""
+"""Weight of one report in the average.
+
+0.05 to 0.2 gave the same p99 within 0.02; 0.02 was worse by 0.03 because it settles slowly.
+"""
