--- a/src/kingcupusher/_entry/assembly.py
+++ b/src/kingcupusher/_entry/assembly.py
@@ -47,6 +47,7 @@
     directory = EntryDirectory(
         membership.table,
         seat=seat.member.seat,
+        zone=settings.zone,
         policy=settings.policy,
         rng=Random(settings.seed or None),
     )
--- a/src/kingcupusher/_entry/directory.py
+++ b/src/kingcupusher/_entry/directory.py
@@ -51,9 +51,12 @@
     would cost more than the choice itself.
     """
 
-    def __init__(self, table: TargetTable, *, seat: int, policy: str, rng: Random) -> None:
+    def __init__(
+        self, table: TargetTable, *, seat: int, zone: str, policy: str, rng: Random
+    ) -> None:
         self._table = table
         self._seat = seat
+        self._zone = zone
         self._policy = policy
         self._rng = rng
         self._max_entries = 1
@@ -253,6 +256,7 @@
                 seat=self._seat,
                 seats=self._max_entries,
                 rng=self._rng,
+                zone=self._zone,
             )
             self._services[service.name] = ServiceState(service, router, _retry_budget(service))
             return
