Leave out a closure and an idle check per request

Cause: each request made a closure for cancellation and asked the waiting room to give out places although nothing waited.

--- a/src/kingcupusher/_http/client_connection.py
+++ b/src/kingcupusher/_http/client_connection.py
@@ -153,6 +153,10 @@
         except OSError:
             return
 
+    async def cancel(self) -> None:
+        """Abort, as a callback of the caller's connection."""
+        self.abort()
+
     async def close(self) -> None:
         """Close the socket."""
         await self._sock.close()
--- a/src/kingcupusher/_proxy/attempt.py
+++ b/src/kingcupusher/_proxy/attempt.py
@@ -179,10 +179,7 @@
         data = self._encode_request(connection)
         self._check_before_write()
 
-        async def cancel() -> None:
-            connection.abort()
-
-        self._caller.on_gone = cancel
+        self._caller.on_gone = connection.cancel
         self.is_written = True
         await connection.send(data)
         if not self._body.is_whole:
--- a/src/kingcupusher/_proxy/exchange.py
+++ b/src/kingcupusher/_proxy/exchange.py
@@ -84,7 +84,8 @@
         except DeadlineError:
             failure = self._timed_out()
         finally:
-            await self._waiting.pump(self._request.service)
+            if self._waiting.has_waiters(self._request.service):
+                await self._waiting.pump(self._request.service)
         if self._is_head_forwarded():
             if failure is not None:
                 self._caller.reset_on_close()
