Remember a write when the retry is not sent

The response is now corrected in one place, whatever the last attempt was. - the new limit for an attempt aborts the connection; on a used connection this looked like an idle close, and the silent target was asked a second time.

Conclusion: a not-run response now needs that no attempt may have run.

--- a/src/kingcupusher/_proxy/exchange.py
+++ b/src/kingcupusher/_proxy/exchange.py
@@ -8,6 +8,7 @@
     DeadlineError,
     ExchangeError,
     PoolLimitError,
+    ResetError,
 )
 from kingcupusher._http.pool import ConnectionPool
 from kingcupusher._http.server_connection import ServerConnection
@@ -90,11 +91,15 @@
         finally:
             if self._waiting.has_waiters(self._request.service):
                 await self._waiting.pump(self._request.service)
+        if failure is None:
+            return
         if self._is_head_forwarded():
-            if failure is not None:
-                self._caller.reset_on_close()
-        elif failure is not None:
-            await respond(self._caller, failure)
+            self._caller.reset_on_close()
+            return
+        if self._may_have_run and failure.outcome is Outcome.NOT_RUN:
+            # A later attempt that was not sent does not undo an earlier one that may have run.
+            failure = NO_RESPONSE
+        await respond(self._caller, failure)
 
     async def _forward(self) -> OutcomeResponse | None:
         self._body = await read_body(self._caller)
@@ -159,8 +164,9 @@
             self._mark_tried(place)
             self._may_retry_freely = not attempt.is_written
             self._attempt = None
-        except ExchangeError:
-            self._mark_tried(place, is_again_allowed=attempt.is_stale)
+        except ExchangeError as error:
+            is_stale = attempt.is_stale and isinstance(error, ResetError)
+            self._mark_tried(place, is_again_allowed=is_stale)
             self._may_retry_freely = False
             self._may_have_run = True
             if attempt.stream_error is not None:
--- a/testing/features/proxy.feature
+++ b/testing/features/proxy.feature
@@ -64,6 +64,8 @@
       | a pooled connection is used again                           |
       | a connection idle too long is not used for a transfer       |
       | a stale connection is replaced for a lookup                 |
+      | a silent target is not asked twice                          |
+      | a full pool after an unknown outcome is not reported as not run |
       | a request without a usable target is handed on once         |
       | a drain finishes requests in flight                         |
       | a slow head is refused                                      |
--- a/testing/features/steps/proxy_steps.py
+++ b/testing/features/steps/proxy_steps.py
@@ -275,6 +275,41 @@
     assert reset.is_stale
 
 
+@check("a silent target is not asked twice")
+def check_silent_once():
+    # Guards against taking the end of an attempt on a used connection for an idle close.
+    async def scenario(world):
+        caller = await world.caller()
+        async with caller.sock:
+            await caller.send(request("/first"))
+            await caller.reply()
+            await caller.send(request("/x"))
+            return await caller.reply()
+
+    world = World([Target({b"/x": Plan(silent=True)}), Target()])
+    assert world.run(scenario).status == 200
+    assert [seen.path for seen in world.targets[0].seen] == [b"/first", b"/x"]
+
+
+@check("a full pool after an unknown outcome is not reported as not run")
+def check_unknown_kept():
+    # Guards against forgetting a write when the retry finds no free connection.
+    async def scenario(world):
+        full = world.directory.pool("t1")
+        get_pool = world.directory.pool
+
+        def pool(target_id):
+            full.limit = 0 if target_id == "t1" else full.limit
+            return get_pool(target_id)
+
+        world.directory.pool = pool
+        return await world.call(request("/x"))
+
+    world = World([Target(default=Plan(cut_at=0)), Target()])
+    reply = world.run(scenario)
+    assert (reply.status, reply.outcome) == (502, b"unknown")
+
+
 @check("a request without a usable target is handed on once")
 def check_handoff():
     async def scenario(world):
