Test cold start, drain, end and death on real processes

The faults that matter most arise between entries, targets and the platform, which tests of one part cannot show.

The load tool now reports the reasons of refusals.

--- a/bench/added_latency.py
+++ b/bench/added_latency.py
@@ -84,6 +84,7 @@
     result.p50_ms = load.summary.latency.p50_ms
     result.p99_ms = load.summary.latency.p99_ms
     result.p999_ms = load.summary.latency.p999_ms
+    result.requests = load.summary.requests
     result.errors = errors(load)
     result.sent_late_share = sent_late_share(load)
 
--- a/bench/bounds.py
+++ b/bench/bounds.py
@@ -4,11 +4,13 @@
 
 from collections.abc import Callable, Iterator
 
+from bench.deployment import TARGETS
 from bench.result import BenchResult
 from kingcupusher._core import Registry
 
 # Section 4.1: p99 against the all-knowing single queue, by utilisation.
 RATIO_BOUNDS = {0.70: 1.10, 0.85: 1.15, 0.95: 1.15}
+FAIL_FAST = "fault-fail-fast"
 # Section 1.3.
 ADDED_P99_MS = 0.52
 # Section 4.1: p99 beside a fault against the p99 of the same plan without it.
@@ -101,4 +103,11 @@
 @BOUNDS.register("requests without a whole response")
 def _errors(result: BenchResult) -> str | None:
     # A target that fails fast gives complete error responses, which are forwarded unchanged.
-    return None if result.case == "fault-fail-fast" else _above(result.errors, 0)
+    return None if result.case == FAIL_FAST else _above(result.errors, 0)
+
+
+@BOUNDS.register("share of requests that a target that fails fast attracts (4.1)")
+def _attracted(result: BenchResult) -> str | None:
+    if result.case != FAIL_FAST or result.errors is None or not result.requests:
+        return None
+    return _above(result.errors / result.requests, 1.0 / TARGETS)
--- a/bench/loaded.py
+++ b/bench/loaded.py
@@ -37,6 +37,7 @@
     result.probes_per_target_s = cost.probes_per_target_s
     result.control_bytes_per_s = cost.control_bytes_per_s
     result.cpu_us_per_request = round(cost.cpu_us / plan.requests, 1)
+    result.requests = found.summary.requests
     result.errors = errors(found)
     result.sent_late_share = sent_late_share(found)
     result.duplicates = duplicates(found)
--- a/bench/result.py
+++ b/bench/result.py
@@ -27,6 +27,7 @@
     probes_per_target_s: float | None = None
     control_bytes_per_s: float | None = None
     cpu_us_per_request: float | None = None
+    requests: int | None = None
     errors: int | None = None
     duplicates: int | None = None
     new_work_after_zone_out: int | None = None
--- a/standins/load/runner.py
+++ b/standins/load/runner.py
@@ -9,7 +9,7 @@
 from kingcupusher._core import now_ms
 from kingcupusher._core.address import Address
 from standins import timers
-from standins.load.check import Outcome, classify
+from standins.load.check import Answer, Outcome, classify
 from standins.load.connection import CallerConnection, EntryConnections, request_head
 from standins.load.errors import NoResponseError, NotSentError, TruncatedError
 from standins.load.plan import PlannedRequest
@@ -20,6 +20,7 @@
 # Requests beyond this many wait in the load tool, so that an overloaded entry does not exhaust the
 # file descriptors; their latency still counts from the scheduled instant.
 MAX_IN_FLIGHT = 800
+MAX_DETAIL_BYTES = 120
 
 
 class RunSettings(Struct, frozen=True, kw_only=True):
@@ -95,7 +96,10 @@
 
     async def _fill(self, record: Record, planned: PlannedRequest, entry: EntryConnections) -> None:
         try:
-            record.outcome = await self._exchange(planned, entry, record.scheduled_ms)
+            answer = await self._exchange(planned, entry, record.scheduled_ms)
+            record.outcome = classify(planned, answer)
+            if record.outcome is not Outcome.WHOLE:
+                record.detail = _describe(answer)
         except NotSentError as error:
             record.outcome, record.detail = Outcome.NOT_RUN, str(error)
         except NoResponseError as error:
@@ -105,16 +109,16 @@
 
     async def _exchange(
         self, planned: PlannedRequest, entry: EntryConnections, scheduled_ms: float
-    ) -> Outcome:
+    ) -> Answer:
         timeout_ms = self._settings.timeout_ms
         deadline_ms = scheduled_ms + timeout_ms + GRACE_MS
         if now_ms() > deadline_ms:
             raise NotSentError("the deadline passed before the request could be sent")
         connection = await entry.take(deadline_ms=deadline_ms)
         head = request_head(planned, host=self._settings.host, timeout_ms=timeout_ms)
-        outcome = await self._exchange_on(connection, planned, head, deadline_ms)
+        answer = await self._exchange_on(connection, planned, head, deadline_ms)
         await entry.give_back(connection)
-        return outcome
+        return answer
 
     async def _exchange_on(
         self,
@@ -122,14 +126,19 @@
         planned: PlannedRequest,
         head: h11.Request,
         deadline_ms: float,
-    ) -> Outcome:
+    ) -> Answer:
         try:
             async with curio.timeout_after(max(0.0, deadline_ms - now_ms()) / 1000.0):
-                answer = await connection.exchange(head, planned.body)
+                return await connection.exchange(head, planned.body)
         except curio.TaskTimeout:
             await connection.close()
             raise NoResponseError("no whole response by the deadline") from None
         except (NoResponseError, TruncatedError):
             await connection.close()
             raise
-        return classify(planned, answer)
+
+
+def _describe(answer: Answer) -> str:
+    # Refusals give their reason in the body; other bodies are not text.
+    reason = answer.body[:MAX_DETAIL_BYTES] if answer.status != 200 else b"wrong content"
+    return f"{answer.status} {reason.decode('ascii', 'replace').strip()}"
--- a/testing/features/bench.feature
+++ b/testing/features/bench.feature
@@ -46,3 +46,13 @@
       | fault-slow   | ratio_to_healthy        | 1.21  | 1      |
       | flood        | ratio_to_healthy        | 1.11  | 1      |
       | fault-cold   | fall_overs              | 1     | 1      |
+
+  Scenario Outline: A target that fails fast may get its fair share of requests and no more
+    Given a result of case fault-fail-fast with errors <errors>
+    And its 1200 requests over 12 targets
+    Then <broken> bounds are broken
+
+    Examples:
+      | errors | broken |
+      | 100    | 0      |
+      | 101    | 1      |
--- a/testing/features/steps/bench_steps.py
+++ b/testing/features/steps/bench_steps.py
@@ -84,3 +84,8 @@
 def then_broken(context, broken):
     found = list(broken_bounds(context.result))
     assert len(found) == broken, found
+
+
+@given("its {requests:d} requests over 12 targets")
+def given_request_count(context, requests):
+    context.result.requests = requests
--- /dev/null
+++ b/testing/features/steps/fleet_steps.py
@@ -0,0 +1,219 @@
+"""Steps with a platform, entries and targets as real processes."""
+
+from __future__ import annotations
+
+import signal
+import time
+
+import curio
+from behave import given, then, when
+
+from kingcupusher._core import now_ms
+from standins.cluster import Cluster
+from standins.load.check import Outcome
+from standins.load.plan import PlanSettings
+from standins.load.process import LoadOptions, LoadProcess
+from standins.processes import ProcessGroup
+from standins.target.faults import FaultOrder
+
+SERVICE = "fleet"
+WARMUP_MS = 300
+GOAL_MS = 3_000.0
+WARM_TIMEOUT_S = 20.0
+END_TIMEOUT_S = 10.0
+
+SERVICE_FILE = f"""\
+name = "{SERVICE}"
+team = "tests"
+hosts = ["{SERVICE}.example"]
+
+[target]
+slots = 3
+cold_concurrency = 1
+warmup_ms = {WARMUP_MS}
+probes_per_s = 0.2
+
+[request]
+# Requests wait until the first cold target may be used, about 2 s after the start.
+queue_length = 500
+"""
+
+
+def _start(context, entries, targets, *options):
+    group = ProcessGroup().__enter__()
+    context.add_cleanup(group.__exit__, None, None, None)
+    cluster = Cluster(group, zones=("zone-a", "zone-b"))
+    cluster.start_targets(SERVICE, targets, "--warmup-ms", str(WARMUP_MS), *options)
+    cluster.wait_targets()
+    path = group.directory / "fleet.toml"
+    path.write_text(SERVICE_FILE, encoding="utf-8")
+    cluster.publish([path])
+    cluster.publish_vms()
+    cluster.start_entries(entries)
+    cluster.wait_entries()
+    context.cluster = cluster
+
+
+def _start_load(context, name, requests, work_ms, rate_per_s):
+    cluster = context.cluster
+    plan = PlanSettings(
+        seed=5,
+        label=name,
+        rate_per_s=rate_per_s,
+        requests=requests,
+        service_time_ms=work_ms,
+        non_idempotent_share=0.3,
+    )
+    options = LoadOptions(
+        entries=[entry.caller for entry in cluster.entries],
+        host=f"{SERVICE}.example",
+        plan=plan,
+        target_controls=[
+            target.control.address for target in cluster.targets if target.process.is_running()
+        ],
+    )
+    return LoadProcess(cluster.group, name, options)
+
+
+def _statuses(context):
+    running = [target for target in context.cluster.targets if target.process.is_running()]
+    return context.cluster.statuses(running)
+
+
+@given("{entries:d} entries and {targets:d} cold targets that need 300 ms of work to warm")
+def given_cold(context, entries, targets):
+    _start(context, entries, targets)
+
+
+@given("{entries:d} entries and {targets:d} open targets")
+def given_open(context, entries, targets):
+    _start(context, entries, targets, "--start-warm")
+    load = _start_load(context, "warm", 10_000, 5.0, 60.0)
+    cluster = context.cluster
+    cluster.wait_until(
+        "all targets are open",
+        lambda: cluster.all_open(cluster.targets),
+        timeout_s=WARM_TIMEOUT_S,
+    )
+    load.stop()
+
+
+@when("{requests:d} requests of {work_ms:g} ms come at {rate:g}/s")
+def when_load(context, requests, work_ms, rate):
+    context.result = _start_load(context, "load", requests, work_ms, rate).finish()
+
+
+@when(
+    "{requests:d} requests of {work_ms:g} ms come at {rate:g}/s and a target drains after"
+    " {delay_s:g} s"
+)
+def when_target_drains(context, requests, work_ms, rate, delay_s):
+    load = _start_load(context, "load", requests, work_ms, rate)
+    time.sleep(delay_s)
+    context.target = context.cluster.targets[0]
+    curio.run(context.target.control.order_fault, "drain", FaultOrder())
+    context.drained_ms = now_ms()
+    context.result = load.finish()
+
+
+@when(
+    "{requests:d} requests of {work_ms:g} ms come at {rate:g}/s and an entry is asked to end"
+    " after {delay_s:g} s"
+)
+def when_entry_ends(context, requests, work_ms, rate, delay_s):
+    load = _start_load(context, "load", requests, work_ms, rate)
+    time.sleep(delay_s)
+    context.entry = context.cluster.entries[0]
+    context.entry.process.send_signal(signal.SIGTERM)
+    context.result = load.finish()
+
+
+@when(
+    "{requests:d} requests of {work_ms:g} ms come at {rate:g}/s and a target is killed after"
+    " {delay_s:g} s"
+)
+def when_target_dies(context, requests, work_ms, rate, delay_s):
+    victim = context.cluster.targets[0]
+    # The log of the victim dies with it, so it is not asked for its executions.
+    victims = [target for target in context.cluster.targets if target is not victim]
+    context.cluster.targets = victims
+    load = _start_load(context, "load", requests, work_ms, rate)
+    time.sleep(delay_s)
+    victim.process.send_signal(signal.SIGKILL)
+    context.result = load.finish()
+
+
+@when(
+    "a target restarts and {requests:d} requests of {work_ms:g} ms come at {rate:g}/s after"
+    " {delay_s:g} s"
+)
+def when_target_restarts(context, requests, work_ms, rate, delay_s):
+    target = context.cluster.targets[0]
+    curio.run(target.control.order_fault, "restart", FaultOrder())
+    time.sleep(delay_s)
+    context.result = _start_load(context, "load", requests, work_ms, rate).finish()
+
+
+@then("every request is answered whole")
+def then_all_whole(context):
+    summary = context.result.summary
+    assert summary.whole == summary.requests, summary
+
+
+@then("at least {percent:d} % of the requests are answered whole")
+def then_share_whole(context, percent):
+    summary = context.result.summary
+    assert summary.whole * 100 >= percent * summary.requests, summary
+
+
+@then("every idempotent request is answered whole")
+def then_idempotent_whole(context):
+    lost = [r for r in context.result.records if r.idempotent and r.outcome is not Outcome.WHOLE]
+    assert not lost, lost
+
+
+@then("every request through the other entry is answered whole")
+def then_other_whole(context):
+    other = str(context.cluster.entries[1].caller)
+    lost = [
+        record
+        for record in context.result.records
+        if record.entry == other and record.outcome is not Outcome.WHOLE
+    ]
+    assert not lost, lost
+
+
+@then("no outcome is unknown and no response is broken")
+def then_honest(context):
+    summary = context.result.summary
+    assert not summary.unknown + summary.broken + summary.error, summary
+
+
+@then("no other request ran twice or was reported as not run after it ran")
+def then_at_most_once(context):
+    executions = context.result.summary.executions
+    assert not executions.duplicates, executions
+    assert not executions.not_run_but_ran, executions
+
+
+@then("no target has fallen over")
+def then_no_falls(context):
+    falls = [status.counters.fall_overs for status in _statuses(context)]
+    assert not any(falls), falls
+
+
+@then("every target got at least {least:d} requests")
+def then_all_used(context, least):
+    requests = [status.counters.requests for status in _statuses(context)]
+    assert min(requests) >= least, requests
+
+
+@then("the drained target got no request later than 3 s after")
+def then_drained_spared(context):
+    status = context.cluster.statuses([context.target])[0]
+    assert status.counters.last_request_ms <= context.drained_ms + GOAL_MS, status
+
+
+@then("the entry has ended")
+def then_entry_ended(context):
+    assert context.entry.process.wait(timeout_s=END_TIMEOUT_S) == 0
