Check that each connection goes back to its pool

Cause: a connection that is not given back costs its target a place for good, and no scenario looked at the count.

Seen: the check runs at the end of every scenario of the request path; it fails in the first ones when release is replaced by a plain close, and passes as it is.

--- a/testing/scripted.py
+++ b/testing/scripted.py
@@ -256,6 +256,8 @@
         await self.proxy.drain(deadline_ms=now_ms(), grace_ms=0)
         await self.serving.join()
         assert all(count == 0 for count in self.directory.in_flight.values())
+        for pool in self.directory._pools.values():
+            assert pool.open_count == len(pool._idle), "a connection was not given back"
         await self.directory.close()
         for index, target in enumerate(self.targets):
             if index not in self.down:
