--- a/src/kingcupusher/_entry/directory.py
+++ b/src/kingcupusher/_entry/directory.py
@@ -92,6 +92,8 @@
     def on_vm_list(self, records: Collection[VmRecord]) -> None:
         """Take over the addresses of the targets."""
         vms = {record.vm_id: record for record in records if record.service in self._services}
+        if vms == self._vms:
+            return
         moved = [i for i, vm in self._vms.items() if i in vms and vms[i].address != vm.address]
         gone = [i for i in self._pools if i not in vms]
         self._vms = vms
@@ -267,8 +269,12 @@
         state.service = service
 
     def _sync_targets(self) -> None:
+        by_service: dict[str, list[VmRecord]] = {name: [] for name in self._services}
+        for vm in self._vms.values():
+            if vm.service in by_service:
+                by_service[vm.service].append(vm)
         for name, state in self._services.items():
-            vms = [vm for vm in self._vms.values() if vm.service == name]
+            vms = by_service[name]
             slots = state.service.target.slots
             state.router.sync(Target(vm.vm_id, vm.zone, slots) for vm in vms)
             state.target_ids = [vm.vm_id for vm in vms]
