Build one reproducible file with the run-time packages only

Cause: `make dist` ran shiv with `--no-deps`, so the file had no dependencies and could not start.

Weighed: letting shiv call pip for everything.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 PYTHON ?= python3
 BIN := $(VENV)/bin
-SOURCES := src standins bench demo testing
+SOURCES := src standins bench demo distribution testing
 export PYTHONPATH := src:.
 export PYTHONHASHSEED := 0
 
@@ -35,4 +35,4 @@
 	$(BIN)/python -m bench --quick
 
 dist: $(VENV)/.installed
-	$(BIN)/python -m shiv --quiet --no-deps --console-script kingcupusher --output-file dist/kingcupusher . 
+	$(BIN)/python -m distribution dist/kingcupusher
