--- /dev/null
+++ b/testing/features/steps/documentation_steps.py
@@ -0,0 +1,60 @@
+"""Steps that compare the pages with the code."""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from pathlib import Path
+
+import msgspec
+from behave import given, register_type, then
+
+from kingcupusher._config import ConfigDocument, Service
+from kingcupusher._config.rules import service_problem
+from testing.documented_tables import service_rows, setting_rows, table_rows
+
+ROOT = Path(__file__).resolve().parents[3]
+TOML_BLOCK = re.compile(r"^```toml\n(.*?)^```$", re.DOTALL | re.MULTILINE)
+LINK = re.compile(r"\]\(([^)#]+)(?:#[^)]*)?\)")
+
+
+def _text(value):
+    return value
+
+
+_text.pattern = r"[^\"]*"
+register_type(Text=_text)
+
+
+@given('the page "{page}"')
+def given_page(context, page):
+    context.path = ROOT / page
+    context.page_text = context.path.read_text(encoding="utf-8")
+
+
+@then("its table of settings equals the settings in the code")
+def then_settings(context):
+    assert table_rows(context.page_text, heading="## Settings of an entry") == setting_rows()
+
+
+@then('its table below "{heading}" equals the fields of "{table:Text}" in the code')
+def then_fields(context, heading, table):
+    # The last column is the meaning, which the code does not hold.
+    rows = [row[:-1] for row in table_rows(context.page_text, heading=heading)]
+    assert rows == service_rows(table), (rows, service_rows(table))
+
+
+@then("each service file in it is valid")
+def then_files_valid(context):
+    blocks = TOML_BLOCK.findall(context.page_text)
+    assert blocks
+    for block in blocks:
+        service = msgspec.convert(tomllib.loads(block), Service)
+        assert service_problem(service, ConfigDocument()) is None
+
+
+@then("each of its links leads to a file")
+def then_links(context):
+    links = [link for link in LINK.findall(context.page_text) if "://" not in link]
+    missing = [link for link in links if not (context.path.parent / link).exists()]
+    assert not missing, missing
