--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 import time
 from collections.abc import Callable, Sequence
 from pathlib import Path
@@ -24,6 +25,16 @@
 ENTRY_SERVICE = "kingcupusher"
 
 
+class Program(Struct, frozen=True):
+    """Command that starts kingcupusher, and its environment if not the one of this process."""
+
+    command: tuple[str, ...]
+    environment: dict[str, str] | None = None
+
+
+MODULE_PROGRAM = Program((sys.executable, "-m", "kingcupusher"))
+
+
 class PlatformNode(Struct, frozen=True):
     """The platform stand-in with its two ports."""
 
@@ -55,10 +66,13 @@
 class Cluster:
     """Starts the processes of a deployment in a process group and finds them again by role."""
 
-    __slots__ = ("entries", "group", "platform", "targets", "zones")
+    __slots__ = ("entries", "group", "platform", "program", "targets", "zones")
 
-    def __init__(self, group: ProcessGroup, *, zones: Sequence[str]) -> None:
+    def __init__(
+        self, group: ProcessGroup, *, zones: Sequence[str], program: Program = MODULE_PROGRAM
+    ) -> None:
         self.group = group
+        self.program = program
         self.zones = list(zones)
         self.targets: list[TargetNode] = []
         self.entries: list[EntryNode] = []
@@ -105,9 +119,13 @@
             "--platform": str(self.platform.address),
         }
         arguments = [part for flag in flags.items() for part in flag]
-        process = self.group.start_module(vm_id, "kingcupusher", "entry", *arguments, *options)
+        process = self._start_program(vm_id, "entry", *arguments, *options)
         return EntryNode(process, vm_id, zone, caller, peer, EntryAdmin(admin))
 
+    def _start_program(self, name: str, *arguments: str) -> ManagedProcess:
+        command = [*self.program.command, *arguments]
+        return self.group.start_command(name, command, environment=self.program.environment)
+
     def wait_targets(self) -> None:
         """Wait until every target serves its control port."""
         for target in self.targets:
@@ -141,7 +159,7 @@
     def command(self, *arguments: str) -> str:
         """Run a ``kingcupusher`` command against the platform and return its output."""
         platform = ("--platform", str(self.platform.address))
-        process = self.group.start_module("command", "kingcupusher", *arguments, *platform)
+        process = self._start_program("command", *arguments, *platform)
         status = process.wait(timeout_s=COMMAND_TIMEOUT_S)
         if status:
             text = " ".join(arguments)
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 from types import TracebackType
 
@@ -147,13 +148,20 @@
 
     def start_module(self, name: str, module: str, *arguments: str) -> ManagedProcess:
         """Start ``python -m module`` with the interpreter and environment of this process."""
+        return self.start_command(name, [sys.executable, "-m", module, *arguments])
+
+    def start_command(
+        self, name: str, command: Sequence[str], *, environment: Mapping[str, str] | None = None
+    ) -> ManagedProcess:
+        """Start a command, with the environment of this process unless another one is given."""
         output = self.directory / f"{len(self._processes)}-{name}.out"
         with output.open("wb") as out, output.with_suffix(".err").open("wb") as err:
             child = subprocess.Popen(
-                [sys.executable, "-m", module, *arguments],
+                command,
                 stdin=subprocess.DEVNULL,
                 stdout=out,
                 stderr=err,
+                env=environment,
             )
         process = ManagedProcess(name, child, output)
         self._processes.append(process)
