--- a/src/kingcupusher/_cli/options.py
+++ b/src/kingcupusher/_cli/options.py
@@ -28,6 +28,16 @@
         help="Address of the platform's key-value service.",
     ),
 ]
+OptionalPlatform = Annotated[
+    Address | None,
+    typer.Option(
+        "--platform",
+        envvar="KINGCUPUSHER_PLATFORM",
+        metavar="IP:PORT",
+        parser=parse_address,
+        help="Address of the platform's key-value service.",
+    ),
+]
 JsonOption = Annotated[bool, typer.Option("--json", help="Print the result as one JSON object.")]
 FilesArgument = Annotated[
     list[Path], typer.Argument(metavar="FILE...", help="TOML service files, one service each.")
--- a/src/kingcupusher/_cli/status.py
+++ b/src/kingcupusher/_cli/status.py
@@ -4,12 +4,13 @@
 
 from typing import Annotated
 
+import curio
 import msgspec
 import typer
 from msgspec import Struct
 
 from kingcupusher._admin import StatusReport
-from kingcupusher._cli.options import JsonOption, PlatformOption, parse_address
+from kingcupusher._cli.options import JsonOption, OptionalPlatform, parse_address
 from kingcupusher._cli.platform_calls import run_call
 from kingcupusher._cli.results import print_json
 from kingcupusher._core import now_ms
@@ -41,7 +42,7 @@
 
 
 def status(
-    platform: PlatformOption, entry: EntryOption = None, as_json: JsonOption = False
+    platform: OptionalPlatform = None, entry: EntryOption = None, as_json: JsonOption = False
 ) -> None:
     """Show each entry: configuration version and age, zone orders, and targets by state.
 
@@ -49,7 +50,12 @@
 
     Example: kingcupusher status --platform 10.0.0.5:2379
     """
-    rows = run_call(_read_all, platform, entry or [], platform=platform)
+    if entry:
+        rows = curio.run(_read_entries, entry)
+    elif platform:
+        rows = run_call(_read_registered, platform, platform=platform)
+    else:
+        raise typer.BadParameter("give --platform, or --entry for each entry to ask")
     if as_json:
         print_json(rows)
         return
@@ -57,14 +63,14 @@
         typer.echo(_line(row))
 
 
-async def _read_all(platform: Address, entries: list[Address]) -> list[EntryStatus]:
-    addresses = entries or await _registered(platform)
-    return [await _read(address) for address in addresses]
+async def _read_registered(platform: Address) -> list[EntryStatus]:
+    members = members_in(await KeyValueClient(platform).list(MEMBER_PREFIX))
+    addresses = [Address.parse(members[seat].admin_address) for seat in sorted(members)]
+    return await _read_entries(addresses)
 
 
-async def _registered(platform: Address) -> list[Address]:
-    members = members_in(await KeyValueClient(platform).list(MEMBER_PREFIX))
-    return [Address.parse(members[seat].admin_address) for seat in sorted(members)]
+async def _read_entries(addresses: list[Address]) -> list[EntryStatus]:
+    return [await _read(address) for address in addresses]
 
 
 async def _read(address: Address) -> EntryStatus:
--- a/src/kingcupusher/_entry/directory.py
+++ b/src/kingcupusher/_entry/directory.py
@@ -11,7 +11,7 @@
 from kingcupusher._entry.members import GroupKey, Member
 from kingcupusher._http.pool import ConnectionPool
 from kingcupusher._limits import RetryBudget, connection_share
-from kingcupusher._membership import RightKind, TargetTable, group_of
+from kingcupusher._membership import Denial, RightKind, TargetTable, group_of
 from kingcupusher._platform import VmRecord
 from kingcupusher._proxy import (
     AbandonedEvent,
@@ -173,12 +173,16 @@
             self._pools[target_id] = pool
         return pool
 
-    def handoff(self, service: Service, *, now_ms: float) -> ConnectionPool | None:  # noqa: ARG002
-        """Return the connections of another entry that coordinates a target of ``service``."""
+    def handoff(self, service: Service, *, now_ms: float) -> ConnectionPool | None:
+        """Return the connections of another entry that coordinates a closed target of ``service``.
+
+        An entry without a confirmation hands nothing on: the other end of a link that it cannot
+        confirm may never respond, and the request could then not be reported as not run.
+        """
         state = self._services.get(service.name)
         if state is None:
             return None
-        seats = sorted({s for s in map(self._coordinator_seat, state.target_ids) if s is not None})
+        seats = sorted(self._ramping_seats(state, now_ms))
         if not seats:
             return None
         seat = seats[self._rng.randrange(len(seats))]
@@ -253,6 +257,16 @@
         pool = self._pools.get(target_id)
         return pool is None or pool.has_room
 
+    def _ramping_seats(self, state: ServiceState, now_ms: float) -> set[int]:
+        """Return the other entries that may ramp a target that is closed for this one."""
+        seats = set()
+        for target_id in state.target_ids:
+            right = self._table.send_right(target_id, now_ms=now_ms)
+            seat = self._coordinator_seat(target_id)
+            if right.denial is Denial.CLOSED and seat is not None:
+                seats.add(seat)
+        return seats
+
     def _coordinator_seat(self, target_id: str) -> int | None:
         key = self._groups.get(group_of(target_id))
         if key is None or key.holder.seat == self._seat or key.holder.seat not in self._members:
--- a/src/kingcupusher/_proxy/exchange.py
+++ b/src/kingcupusher/_proxy/exchange.py
@@ -13,6 +13,7 @@
 from kingcupusher._http.pool import ConnectionPool
 from kingcupusher._http.server_connection import ServerConnection
 from kingcupusher._http.timer import RequestTimer
+from kingcupusher._observe.logs import RateLimitedLogger
 from kingcupusher._proxy.attempt import Attempt, Place
 from kingcupusher._proxy.body import RequestBody, read_body
 from kingcupusher._proxy.classify import ProxyRequest
@@ -31,6 +32,8 @@
 from kingcupusher._proxy.silence import SilenceWatch
 from kingcupusher._proxy.waiting import WaitingRoom
 
+log = RateLimitedLogger("request")
+
 # Bounds the connections that one request may try to open while targets are down.
 MAX_ATTEMPTS = 4
 
@@ -93,6 +96,7 @@
                 await self._waiting.pump(self._request.service)
         if failure is None:
             return
+        self._log(failure)
         if self._is_head_forwarded():
             self._caller.reset_on_close()
             return
@@ -101,6 +105,17 @@
             failure = NO_RESPONSE
         await respond(self._caller, failure)
 
+    def _log(self, failure: OutcomeResponse) -> None:
+        log.warning(
+            "request not served",
+            request_id=self._request.request_id.decode("latin-1"),
+            service=self._request.service.name,
+            status=failure.status,
+            outcome=failure.outcome.value.decode(),
+            reason=failure.reason,
+            attempts=self._attempts,
+        )
+
     async def _forward(self) -> OutcomeResponse | None:
         self._body = await read_body(self._caller)
         budget = self._directory.retry_budget(self._request.service)
--- a/testing/features/commands.feature
+++ b/testing/features/commands.feature
@@ -28,6 +28,8 @@
       | zone in north                   | {}                        | 0    | nothing was published                             |
       | zone list                       | {}                        | 0    | south: in, 2 live VMs                             |
       | zone list                       | {"outage": "refuse"}      | 4    | fix: check --platform                             |
+      | status                          | {"outage": "refuse"}      | 4    | fix: check --platform                             |
+      | status --entry 127.0.0.1:1      | {"outage": "refuse"}      | 0    | no status: cannot connect                         |
       | zone list --platform localhost  | {}                        | 2    | use IP:PORT                                       |
 
   Scenario: A file of another team is refused with its name
