--- a/src/kingcupusher/_entry/directory.py
+++ b/src/kingcupusher/_entry/directory.py
@@ -51,9 +51,12 @@
     would cost more than the choice itself.
     """
 
-    def __init__(self, table: TargetTable, *, seat: int, policy: str, rng: Random) -> None:
+    def __init__(
+        self, table: TargetTable, *, seat: int, zone: str, policy: str, rng: Random
+    ) -> None:
         self._table = table
         self._seat = seat
+        self._zone = zone
         self._policy = policy
         self._rng = rng
         self._max_entries = 1
@@ -89,6 +92,8 @@
     def on_vm_list(self, records: Collection[VmRecord]) -> None:
         """Take over the addresses of the targets."""
         vms = {record.vm_id: record for record in records if record.service in self._services}
+        if vms == self._vms:
+            return
         moved = [i for i, vm in self._vms.items() if i in vms and vms[i].address != vm.address]
         gone = [i for i in self._pools if i not in vms]
         self._vms = vms
@@ -108,6 +113,16 @@
         for pool in [*self._pools.values(), *self._handoff_pools.values()]:
             await pool.close_idle()
 
+    async def check_idle_connections(self, *, now_ms: float) -> None:
+        """Close the targets that closed all their idle connections: they may have restarted.
+
+        Cost: a target whose own idle limit is below the 15 s of the pool is closed and ramped
+        again after each pause in its traffic.
+        """
+        for target_id, pool in list(self._pools.items()):
+            if await pool.drop_closed():
+                self._table.on_reset(target_id, sent_ms=now_ms, now_ms=now_ms)
+
     async def close(self) -> None:
         """Close all connections to targets and entries."""
         self._retire_pools(list(self._pools))
@@ -253,6 +268,7 @@
                 seat=self._seat,
                 seats=self._max_entries,
                 rng=self._rng,
+                zone=self._zone,
             )
             self._services[service.name] = ServiceState(service, router, _retry_budget(service))
             return
@@ -263,8 +279,12 @@
         state.service = service
 
     def _sync_targets(self) -> None:
+        by_service: dict[str, list[VmRecord]] = {name: [] for name in self._services}
+        for vm in self._vms.values():
+            if vm.service in by_service:
+                by_service[vm.service].append(vm)
         for name, state in self._services.items():
-            vms = [vm for vm in self._vms.values() if vm.service == name]
+            vms = by_service[name]
             slots = state.service.target.slots
             state.router.sync(Target(vm.vm_id, vm.zone, slots) for vm in vms)
             state.target_ids = [vm.vm_id for vm in vms]
