Trace a share of the requests with one span per hop

The request path calls a hook whose default does nothing; the tracer replaces the trace context in the request head, so forwarding and retries are unchanged. Weighed: a span per attempt (the design says one per hop), the batch processor (starts a thread). A request with a context follows its sampled flag; a repeated traceparent is not valid and starts a new trace. Without the SDK, as in the distribution file, an entry with a share above 0 ends at once and names the fix (seen with the built file: status 1).

--- a/bench/hop_cpu.py
+++ b/bench/hop_cpu.py
@@ -3,11 +3,14 @@
 Run with ``python -m bench.hop_cpu``. Caller, proxy and target are tasks of one process and call
 each other in a closed loop. On a shared machine CPU times vary by half from second to second;
 the lowest tenth of many short batches, as a ratio to work done in between, varies by a few percent,
-which makes two versions comparable.
+which makes two versions comparable. ``--trace-sample-percent`` measures the cost of tracing; the
+spans go to standard error.
 """
 
 from __future__ import annotations
 
+import argparse
+import os
 import statistics
 from time import process_time
 
@@ -15,9 +18,10 @@
 import h11
 
 from bench.hop import ANY_PORT, REQUEST, _serve_target
+from bench.usage import resident_bytes
 from kingcupusher._config import Service, TargetLimits
 from kingcupusher._core.address import Address
-from kingcupusher._proxy import Proxy, StaticDirectory
+from kingcupusher._proxy import NO_TRACER, Proxy, StaticDirectory, Tracer
 
 BATCHES = 500
 CALLS = 10
@@ -53,7 +57,15 @@
         await curio.spawn(_serve_target, client, daemon=True)
 
 
-async def _measure() -> None:
+def _tracer(percent: float) -> Tracer:
+    if not percent:
+        return NO_TRACER
+    from kingcupusher._observe.traces import SamplingTracer
+
+    return SamplingTracer(sample_percent=percent)
+
+
+async def _measure(percent: float) -> None:
     target = curio.tcp_server_socket("127.0.0.1", 0)
     await curio.spawn(_accept, target, daemon=True)
     address = Address("127.0.0.1", target.getsockname()[1])
@@ -62,7 +74,7 @@
     )
     directory = StaticDirectory(service, {"t": address}, connections=64)
     directory.keep_events = False
-    proxy = Proxy(directory)
+    proxy = Proxy(directory, tracer=_tracer(percent))
     listener = proxy.listen(ANY_PORT)
     await curio.spawn(proxy.run, listener, daemon=True)
     direct = await curio.open_connection(*address)
@@ -74,7 +86,8 @@
     hop_us, reference_us = _tenth(hops_us), _tenth(references_us)
     print(
         f"hop: {hop_us / reference_us:.2f} times the reference; "
-        f"lowest tenth {hop_us:.0f} us, median {statistics.median(hops_us):.0f} us of CPU"
+        f"lowest tenth {hop_us:.0f} us, median {statistics.median(hops_us):.0f} us of CPU; "
+        f"resident memory of the process {resident_bytes(os.getpid()) / 1e6:.1f} MB"
     )
 
 
@@ -83,5 +96,11 @@
     return statistics.quantiles(samples, n=10)[0]
 
 
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--trace-sample-percent", type=float, default=0.0)
+    curio.run(_measure, parser.parse_args().trace_sample_percent)
+
+
 if __name__ == "__main__":
-    curio.run(_measure)
+    main()
--- a/src/kingcupusher/_entry/errors.py
+++ b/src/kingcupusher/_entry/errors.py
@@ -11,3 +11,13 @@
 
 class SeatLostError(EntryError):
     """Raised when another entry took the seat after this entry's lease had ended."""
+
+
+class TracesUnavailableError(EntryError):
+    """Raised when requests are to be traced and the OpenTelemetry SDK is not installed."""
+
+    def __init__(self, percent: float) -> None:
+        super().__init__(
+            f"--trace-sample-percent is {percent:g}, but opentelemetry-sdk is not installed; "
+            "install kingcupusher[traces] or use 0"
+        )
--- a/src/kingcupusher/_entry/process.py
+++ b/src/kingcupusher/_entry/process.py
@@ -14,6 +14,7 @@
 from kingcupusher._entry.control import Control
 from kingcupusher._entry.parts import EntryParts
 from kingcupusher._entry.tasks import Task, run_until_first_ends
+from kingcupusher._entry.tracing import open_tracer
 from kingcupusher._entry.vm_reader import read_vm_list
 from kingcupusher._http.service import serve
 from kingcupusher._observe.logs import JsonHandler
@@ -50,11 +51,12 @@
     stop = curio.UniversalEvent()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stop.set())
+    tracer = open_tracer(settings)
     parts = await _assemble_unless_stopped(settings, stop)
     if parts is None:
         return
     control = Control(parts, stop)
-    proxy = Proxy(parts.directory)
+    proxy = Proxy(parts.directory, tracer=tracer)
     drain = partial(_drain_when_asked, parts, control, proxy, stop)
     await run_until_first_ends(*_tasks(parts, control, proxy), drain)
 
--- a/src/kingcupusher/_http/server_connection.py
+++ b/src/kingcupusher/_http/server_connection.py
@@ -60,6 +60,7 @@
         "is_idle",
         "on_gone",
         "received_ms",
+        "response_status",
         "stop_requested",
         "task",
     )
@@ -76,6 +77,7 @@
         self._gone = False
         self._is_reader_waiting = False
         self.received_ms = self._pending_since_ms
+        self.response_status = 0
         self.on_gone: Callable[[], Awaitable[None]] | None = None
         self.close_after_response = False
         self.stop_requested = False
@@ -120,6 +122,7 @@
         """
         if self._http.our_state is h11.DONE:
             self._http.start_next_cycle()
+        self.response_status = 0
         limits = self._limits
         self.is_idle = not self._http.trailing_data[0]
         wait_ms = limits.idle_timeout_ms if self.is_idle else limits.head_timeout_ms
@@ -209,6 +212,7 @@
         if self.close_after_response or self.stop_requested:
             headers = [*headers, (b"connection", b"close")]
         trusted = trusted_headers(headers)
+        self.response_status = status
         return self.encode(h11.Response(status_code=status, headers=trusted, reason=reason))
 
     def encode_end(self, event: h11.EndOfMessage) -> bytes:
--- a/src/kingcupusher/_proxy/__init__.py
+++ b/src/kingcupusher/_proxy/__init__.py
@@ -17,12 +17,14 @@
 from kingcupusher._proxy.load_report import LoadReport
 from kingcupusher._proxy.proxy import Proxy
 from kingcupusher._proxy.static_directory import StaticDirectory
+from kingcupusher._proxy.tracing import NO_TRACER, Tracer
 
 __all__ = [
     "AbandonedEvent",
     "Directory",
     "FailureEvent",
     "LoadReport",
+    "NO_TRACER",
     "NotSentEvent",
     "Proxy",
     "ProxyError",
@@ -32,4 +34,5 @@
     "RetryBudget",
     "StaticDirectory",
     "TargetEvent",
+    "Tracer",
 ]
--- a/src/kingcupusher/_proxy/proxy.py
+++ b/src/kingcupusher/_proxy/proxy.py
@@ -15,6 +15,7 @@
 from kingcupusher._proxy.exchange import Exchange
 from kingcupusher._proxy.outcome import rejection, respond
 from kingcupusher._proxy.silence import SilenceWatch
+from kingcupusher._proxy.tracing import NO_TRACER, Tracer
 from kingcupusher._proxy.waiting import WaitingRoom
 
 PUMP_S = 0.02
@@ -24,14 +25,16 @@
 class Proxy:
     """The request path of an entry."""
 
-    __slots__ = ("_directory", "_limits", "_listeners", "_silence", "_waiting")
+    __slots__ = ("_directory", "_limits", "_listeners", "_silence", "_tracer", "_waiting")
 
     def __init__(
         self,
         directory: Directory,
         *,
         limits: ServerLimits | None = None,
+        tracer: Tracer = NO_TRACER,
     ) -> None:
+        self._tracer = tracer
         self._directory = directory
         self._limits = limits or ServerLimits()
         self._listeners: list[Listener] = []
@@ -104,6 +107,9 @@
         except RejectedError as error:
             await respond(caller, rejection(error.status, str(error)))
             return
+        span = self._tracer.begin(
+            head.headers, service=request.service.name, request_id=request.request_id
+        )
         exchange = Exchange(
             request,
             caller=caller,
@@ -111,4 +117,7 @@
             waiting=self._waiting,
             silence=self._silence,
         )
-        await exchange.run()
+        try:
+            await exchange.run()
+        finally:
+            span.end(status=caller.response_status)
--- a/src/kingcupusher/_settings/entry.py
+++ b/src/kingcupusher/_settings/entry.py
@@ -94,7 +94,8 @@
         allowed="a number from 0 to 100",
         parse=number_between(0.0, 100.0),
         default="0",
-        help="Share of requests without a sampled parent that are traced.",
+        help="Share of requests without a trace context that are traced; above 0, "
+        "a request with one follows its sampled flag.",
     ),
     Field(
         name="seed",
--- a/testing/scripted.py
+++ b/testing/scripted.py
@@ -13,7 +13,7 @@
 from kingcupusher._core import now_ms
 from kingcupusher._core.address import Address
 from kingcupusher._http.server_connection import ServerLimits
-from kingcupusher._proxy import Proxy, StaticDirectory
+from kingcupusher._proxy import NO_TRACER, Proxy, StaticDirectory, Tracer
 
 LOOPBACK = Address("127.0.0.1", 0)
 ATTEMPT_TIMEOUT_MS = 1_000
@@ -235,6 +235,7 @@
     limits: ServerLimits = field(default_factory=ServerLimits)
     down: frozenset[int] = frozenset()
     with_entry: bool = False
+    tracer: Tracer = NO_TRACER
 
     def run(self, scenario):
         """Run the coroutine function ``scenario(world)`` and return its result."""
@@ -248,7 +249,7 @@
         self.directory = StaticDirectory(
             self._service(), addresses, retries=self.retries, entry=entry
         )
-        self.proxy = Proxy(self.directory, limits=self.limits)
+        self.proxy = Proxy(self.directory, limits=self.limits, tracer=self.tracer)
         self.listener = self.proxy.listen(LOOPBACK)
         self.address = self.listener.address
         self.serving = await curio.spawn(self.proxy.run, self.listener)
