--- a/testing/features/steps/distribution_steps.py
+++ b/testing/features/steps/distribution_steps.py
@@ -98,7 +98,7 @@
     group = ProcessGroup().__enter__()
     context.add_cleanup(group.__exit__, None, None, None)
     program = Program((str(context.file),), context.environment)
-    context.cluster = Cluster(group, zones=["a"], program=program)
+    context.cluster = Cluster(group, zones=["a"], program=program, timeout_s=HANG_S)
     context.cluster.publish(sorted((ROOT / "examples").glob("*/*.toml")))
     # The entry unpacks the file itself, since compiling at the first start would start processes.
     context.cluster.program = Program(program.command, _environment(group.directory / "unpacked"))
