Never lose the request to end

The process was alive with 'coroutine UniversalEvent.set was never awaited' on standard error: curio's event decides from the calling frame whether set is a coroutine, so a signal handler that interrupts a coroutine creates one that nobody awaits, and the signal is lost.

The request to end is now a byte in a socket pair. Polling a flag was ruled out for its wake-ups.

--- a/src/kingcupusher/_entry/control.py
+++ b/src/kingcupusher/_entry/control.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import curio
-
 from kingcupusher._admin import StatusReport, TargetStatus, ZoneOrderResult
 from kingcupusher._config import Outcome, Publisher
 from kingcupusher._core import now_ms
 from kingcupusher._entry.parts import EntryParts
+from kingcupusher._entry.stop import StopRequest
 from kingcupusher._membership import RightKind
 from kingcupusher._observe.metrics import render
 
@@ -15,7 +14,7 @@
 class Control:
     """Answers the administration interface from the parts of the entry."""
 
-    def __init__(self, parts: EntryParts, stop: curio.UniversalEvent) -> None:
+    def __init__(self, parts: EntryParts, stop: StopRequest) -> None:
         self._parts = parts
         self._stop = stop
         self.is_draining = False
--- a/src/kingcupusher/_entry/process.py
+++ b/src/kingcupusher/_entry/process.py
@@ -13,6 +13,7 @@
 from kingcupusher._entry.assembly import assemble, vm_listener
 from kingcupusher._entry.control import Control
 from kingcupusher._entry.parts import EntryParts
+from kingcupusher._entry.stop import StopRequest
 from kingcupusher._entry.tasks import Task, run_until_first_ends
 from kingcupusher._entry.tracing import open_tracer
 from kingcupusher._entry.vm_reader import read_vm_list
@@ -50,9 +51,8 @@
 
 
 async def _run(settings: EntrySettings) -> None:
-    stop = curio.UniversalEvent()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
+    stop = StopRequest()
+    stop.set_on((signal.SIGTERM, signal.SIGINT))
     tracer = open_tracer(settings)
     parts = await _assemble_unless_stopped(settings, stop)
     if parts is None:
@@ -63,9 +63,7 @@
     await run_until_first_ends(*_tasks(parts, control, proxy), drain)
 
 
-async def _assemble_unless_stopped(
-    settings: EntrySettings, stop: curio.UniversalEvent
-) -> EntryParts | None:
+async def _assemble_unless_stopped(settings: EntrySettings, stop: StopRequest) -> EntryParts | None:
     async with curio.TaskGroup(wait=any) as group:
         assembling = await group.spawn(assemble, settings)
         await group.spawn(stop.wait)
@@ -120,7 +118,7 @@
 
 
 async def _drain_when_asked(
-    parts: EntryParts, control: Control, proxy: Proxy, stop: curio.UniversalEvent
+    parts: EntryParts, control: Control, proxy: Proxy, stop: StopRequest
 ) -> None:
     """Wait until asked to drain, then finish the requests in flight."""
     await stop.wait()
--- /dev/null
+++ b/src/kingcupusher/_entry/stop.py
@@ -0,0 +1,41 @@
+"""Request to end the process, from a signal handler or from a task."""
+
+from __future__ import annotations
+
+import signal
+import socket
+from collections.abc import Iterable
+
+import curio.io
+
+
+class StopRequest:
+    """An event that a signal handler may set.
+
+    curio's universal event decides from the calling frame whether ``set`` is a coroutine. A
+    handler that interrupts a coroutine then creates one that nobody awaits, and the signal is
+    lost. A byte in a socket pair works from any frame.
+    """
+
+    __slots__ = ("_reader", "_writer")
+
+    def __init__(self) -> None:
+        reader, self._writer = socket.socketpair()
+        self._writer.setblocking(False)
+        self._reader = curio.io.Socket(reader)
+
+    def set_on(self, signals: Iterable[signal.Signals]) -> None:
+        """Set the event when one of ``signals`` arrives."""
+        for number in signals:
+            signal.signal(number, lambda *_: self.set())
+
+    def set(self) -> None:
+        """Set the event; it stays set."""
+        try:
+            self._writer.send(b"\0")
+        except BlockingIOError:
+            return
+
+    async def wait(self) -> None:
+        """Wait until the event is set."""
+        await self._reader.recv(1, socket.MSG_PEEK)
--- a/src/kingcupusher/_proxy/exchange.py
+++ b/src/kingcupusher/_proxy/exchange.py
@@ -96,7 +96,8 @@
                 await self._waiting.pump(self._request.service)
         if failure is None:
             return
-        self._log(failure)
+        if not self._caller.is_gone:
+            self._log(failure)
         if self._is_head_forwarded():
             self._caller.reset_on_close()
             return
