--- a/src/kingcupusher/_entry/directory.py
+++ b/src/kingcupusher/_entry/directory.py
@@ -2,33 +2,25 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 from random import Random
 
 from kingcupusher._config import ConfigDocument, Service
 from kingcupusher._core.address import Address
 from kingcupusher._entry.members import GroupKey, Member
+from kingcupusher._entry.target_events import note_at_router, note_at_table
 from kingcupusher._http.pool import ConnectionPool
 from kingcupusher._limits import RetryBudget, connection_share
 from kingcupusher._membership import Denial, RightKind, TargetTable, group_of
 from kingcupusher._platform import VmRecord
-from kingcupusher._proxy import (
-    AbandonedEvent,
-    FailureEvent,
-    NotSentEvent,
-    RefusalEvent,
-    ResetEvent,
-    ResponseEvent,
-    TargetEvent,
-)
-from kingcupusher._routing import ServiceRouter, Target, UnknownTargetError
+from kingcupusher._proxy import TargetEvent
+from kingcupusher._routing import ServiceRouter, Target
 
 # Rights are looked up again after this time; each send checks its right exactly before the write.
 RIGHTS_CACHE_MS = 10.0
 RETRY_FLOOR_PER_S = 1.0
 HANDOFF_CONNECTIONS = 32
-FIRST_SERVER_ERROR = 500
 
 
 @dataclass(slots=True)
@@ -203,8 +195,8 @@
         self.in_flight -= 1
         state = self._services.get(event.service)
         if state is not None:
-            _note_at_router(state.router, event)
-        _TABLE_EFFECTS[type(event)](self._table, event)
+            note_at_router(state.router, event)
+        note_at_table(self._table, event)
 
     # -- details
 
@@ -310,77 +302,3 @@
 
 def _retry_budget(service: Service) -> RetryBudget:
     return RetryBudget(percent=service.request.retry_percent, floor_per_s=RETRY_FLOOR_PER_S)
-
-
-def _note_at_router(router: ServiceRouter, event: TargetEvent) -> None:
-    try:
-        _ROUTER_EFFECTS[type(event)](router, event)
-    except UnknownTargetError:
-        # The service was removed and published again while the request was in flight.
-        return
-
-
-def _sent_ms(event: TargetEvent) -> float:
-    return event.at_ms - event.elapsed_ms
-
-
-def _route_response(router: ServiceRouter, event: TargetEvent) -> None:
-    assert isinstance(event, ResponseEvent)
-    if event.status >= FIRST_SERVER_ERROR:
-        _route_failure(router, event)
-        return
-    router.on_response(
-        event.target_id, now_ms=event.at_ms, elapsed_ms=event.elapsed_ms, report=event.load
-    )
-
-
-def _route_failure(router: ServiceRouter, event: TargetEvent) -> None:
-    router.on_failure(event.target_id, now_ms=event.at_ms, elapsed_ms=event.elapsed_ms)
-
-
-def _route_cancel(router: ServiceRouter, event: TargetEvent) -> None:
-    router.on_cancelled(event.target_id, now_ms=event.at_ms)
-
-
-def _note_response(table: TargetTable, event: TargetEvent) -> None:
-    sent_ms = _sent_ms(event)
-    table.on_response(event.target_id, event.load, sent_ms=sent_ms, now_ms=event.at_ms)
-
-
-def _note_refusal(table: TargetTable, event: TargetEvent) -> None:
-    sent_ms = _sent_ms(event)
-    table.on_refusal(event.target_id, event.load, sent_ms=sent_ms, now_ms=event.at_ms)
-
-
-def _note_reset(table: TargetTable, event: TargetEvent) -> None:
-    assert isinstance(event, ResetEvent)
-    # A target may close an idle connection at any time; that says nothing about its warmth.
-    if event.is_stale:
-        return
-    table.on_reset(event.target_id, sent_ms=_sent_ms(event), now_ms=event.at_ms)
-
-
-def _note_failure(table: TargetTable, event: TargetEvent) -> None:
-    table.on_failure(event.target_id, now_ms=event.at_ms)
-
-
-def _note_nothing(_table: TargetTable, _event: TargetEvent) -> None:
-    """Leave the table as it is: the target is not the cause."""
-
-
-_ROUTER_EFFECTS: dict[type[TargetEvent], Callable[[ServiceRouter, TargetEvent], None]] = {
-    ResponseEvent: _route_response,
-    RefusalEvent: _route_failure,
-    ResetEvent: _route_failure,
-    FailureEvent: _route_failure,
-    NotSentEvent: _route_cancel,
-    AbandonedEvent: _route_cancel,
-}
-_TABLE_EFFECTS: dict[type[TargetEvent], Callable[[TargetTable, TargetEvent], None]] = {
-    ResponseEvent: _note_response,
-    RefusalEvent: _note_refusal,
-    ResetEvent: _note_reset,
-    FailureEvent: _note_failure,
-    NotSentEvent: _note_nothing,
-    AbandonedEvent: _note_nothing,
-}
