Drain an entry whose seat was taken by another

Cause, found by reading: after an outage that ended all leases, a new entry that waits for a seat may take one before its old holder registers again. The holder then ended at once with status 1 and cut its requests in flight.

It now drains as after SIGTERM. Taking another seat in the running process was ruled out: the seat is part of the identity under which peers hold grants.

--- a/src/kingcupusher/_entry/process.py
+++ b/src/kingcupusher/_entry/process.py
@@ -13,6 +13,7 @@
 from kingcupusher._entry.assembly import assemble, vm_listener
 from kingcupusher._entry.control import Control
 from kingcupusher._entry.parts import EntryParts
+from kingcupusher._entry.registration import keep_registered
 from kingcupusher._entry.stop import StopRequest
 from kingcupusher._entry.tasks import Task, run_until_first_ends
 from kingcupusher._entry.tracing import open_tracer
@@ -60,7 +61,7 @@
     control = Control(parts, stop)
     proxy = Proxy(parts.directory, tracer=tracer)
     drain = partial(_drain_when_asked, parts, control, proxy, stop)
-    await run_until_first_ends(*_tasks(parts, control, proxy), drain)
+    await run_until_first_ends(*_tasks(parts, control, proxy, stop), drain)
 
 
 async def _assemble_unless_stopped(settings: EntrySettings, stop: StopRequest) -> EntryParts | None:
@@ -75,14 +76,14 @@
     raise assembling.exception
 
 
-def _tasks(parts: EntryParts, control: Control, proxy: Proxy) -> list[Task]:
+def _tasks(parts: EntryParts, control: Control, proxy: Proxy, stop: StopRequest) -> list[Task]:
     settings = parts.settings
     api = AdminApi(control, token=settings.admin_token)
     vm_list = VmListClient(settings.platform)
     return [
         parts.driver.run,
         parts.follower.run,
-        parts.registration.run,
+        partial(keep_registered, parts.registration, stop),
         parts.prober.run,
         partial(read_vm_list, vm_list, partial(vm_listener, parts)),
         partial(serve, settings.admin_address, api.handle),
--- a/src/kingcupusher/_entry/registration.py
+++ b/src/kingcupusher/_entry/registration.py
@@ -21,6 +21,7 @@
     member_key,
     members_in,
 )
+from kingcupusher._entry.stop import StopRequest
 from kingcupusher._entry.tasks import run_until_first_ends
 from kingcupusher._membership import Membership
 from kingcupusher._platform import ConflictError, KeyValueClient, Lease, LeaseLostError
@@ -247,3 +248,17 @@
 
     def _holder(self) -> Holder:
         return Holder(self._seat.member.seat, self._seat.member.boot_id)
+
+
+async def keep_registered(registration: Registration, stop: StopRequest) -> None:
+    """Run ``registration``; ask for a drain if another entry took the seat.
+
+    After an outage a new entry may take the seat before its holder registers again. The holder
+    has requests in flight, so that it must not end at once.
+    """
+    try:
+        await registration.run()
+    except SeatLostError as error:
+        log.error("entry drains", reason=str(error))
+        stop.set()
+        await curio.Event().wait()
--- a/testing/features/registration.feature
+++ b/testing/features/registration.feature
@@ -28,6 +28,13 @@
     When the watch shows a rewound store without coordinator keys
     Then the entry holds no group acquired before the rewind
 
+  # After an outage an entry that waited for a seat may come first; the holder ended at once.
+  Scenario: Another entry takes the seat after the lease ended
+    Given a registered entry that should hold all groups
+    When another entry takes its seat and its lease ends
+    Then the entry is asked to drain
+    And its registration does not end the process
+
   # With CRC-32 weights one of five entries coordinated 20 of 32 groups, and two none.
   Scenario Outline: Groups are divided evenly over <count> entries
     Given <count> registered entries
--- a/testing/features/steps/registration_steps.py
+++ b/testing/features/steps/registration_steps.py
@@ -6,16 +6,20 @@
 from types import SimpleNamespace
 
 import curio
+import msgspec
 from behave import given, then, when
 
 from kingcupusher._core import now_ms
 from kingcupusher._entry.assignment import assign_groups
-from kingcupusher._entry.members import GroupKey, Holder, Member
-from kingcupusher._entry.registration import Registration, Seat
+from kingcupusher._entry.members import GroupKey, Holder, Member, encode, member_key
+from kingcupusher._entry.registration import Registration, Seat, keep_registered
+from kingcupusher._entry.stop import StopRequest
 from kingcupusher._limits import ColdStartRamp, ProbeBudget
 from kingcupusher._membership import GROUPS, Membership
-from kingcupusher._platform import Lease
+from kingcupusher._platform import Lease, LeaseLostError, VersionedValue
 
+# Ends the scenario when the drain is never asked for.
+LOST_S = 10.0
 MEMBER = Member(
     seat=0,
     boot_id=9,
@@ -32,6 +36,7 @@
 
     def __init__(self):
         self.ends_at = None
+        self.taken = None
         self.revision = 100
         self.registration = None
 
@@ -46,8 +51,12 @@
         await self._maybe_end("delete")
 
     async def get(self, key):
-        """Return nothing: the seat's key went with the lease."""
-        return
+        """Return the seat's key: nothing unless another entry took it."""
+        return self.taken
+
+    async def renew_lease(self, lease):
+        """Report that the lease has ended."""
+        raise LeaseLostError(lease.lease_id)
 
     async def grant_lease(self, ttl_ms):
         """Grant another lease."""
@@ -61,7 +70,7 @@
 
 def _entry(context, *, members, held):
     context.store = ScriptedStore()
-    context.follower = SimpleNamespace(members=members, groups={}, rewinds=0)
+    context.follower = SimpleNamespace(members=members, groups={}, rewinds=0, changed=curio.Event())
     membership = Membership(
         seat=0, boot_id=9, ramp_factory=ColdStartRamp, budget_factory=ProbeBudget
     )
@@ -133,6 +142,34 @@
     context.registration._note_changes(context.follower.groups)
 
 
+@when("another entry takes its seat and its lease ends")
+def when_seat_taken(context):
+    other = msgspec.structs.replace(MEMBER, boot_id=10)
+    context.store.taken = VersionedValue(member_key(0), encode(other), 120)
+
+    async def main():
+        stop = StopRequest()
+        keeping = await curio.spawn(keep_registered, context.registration, stop)
+        async with curio.ignore_after(LOST_S) as timeout:
+            await stop.wait()
+        context.is_drain_asked = not timeout.expired
+        await curio.sleep(0)
+        context.has_ended = keeping.terminated
+        await keeping.cancel()
+
+    curio.run(main)
+
+
+@then("the entry is asked to drain")
+def then_drain_asked(context):
+    assert context.is_drain_asked
+
+
+@then("its registration does not end the process")
+def then_still_running(context):
+    assert not context.has_ended
+
+
 @then("the entry holds no group")
 @then("the entry holds no group acquired under the ended lease")
 @then("the entry holds no group acquired before the rewind")
