Open target connections with the shared connect function

The request path opened its connections with its own copy of the socket set-up that tcp.connect already does for control traffic and peer links. Behaviour is unchanged: the same socket option, the same close on failure, the same errors.

--- a/src/kingcupusher/_http/client_connection.py
+++ b/src/kingcupusher/_http/client_connection.py
@@ -20,6 +20,7 @@
 )
 from kingcupusher._http.heads import HeaderList, trusted_headers
 from kingcupusher._http.sending import send_all
+from kingcupusher._http.tcp import connect
 
 READ_BYTES = 65_536
 END = h11.EndOfMessage()
@@ -52,21 +53,13 @@
     @classmethod
     async def open(cls, address: Address, *, deadline_ms: float) -> ClientConnection:
         """Connect to ``address``; raise :class:`ConnectError` if that fails in time."""
-        family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-        sock = curio.io.Socket(socket.socket(family, socket.SOCK_STREAM))
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
             async with curio.timeout_after(max(0.0, (deadline_ms - now_ms()) / 1000.0)):
-                await sock.connect((address.host, address.port))
+                sock = await connect(address)
         except curio.TaskTimeout:
-            await sock.close()
             raise ConnectTimeoutError(f"{address} did not accept a connection in time") from None
         except OSError as error:
-            await sock.close()
             raise ConnectError(f"cannot connect to {address}: {error}") from error
-        except BaseException:
-            await sock.close()
-            raise
         return cls(sock, address)
 
     @property
