Serve the users' platform: targets that register themselves, load read before each send

Cause: kingcupusher knew targets from a VM list and learnt their load from responses. On the users' platform targets register in a store, change speed several times a second, and the load has to be read just before a request is sent.

Not taken: the old coordinator groups, heartbeats and confirmations, which the store makes needless here.

Before: nothing was served there. No tests of the new code yet; they follow.

--- a/src/kingcupusher/_entry/stop.py
+++ b/src/kingcupusher/_core/stop.py
@@ -1,4 +1,4 @@
-"""Request to end the process, from a signal handler or from a task."""
+"""Requests to a process, from a signal handler or from a task."""
 
 from __future__ import annotations
 
@@ -8,6 +8,8 @@
 
 import curio.io
 
+CLEAR_BYTES = 1_024
+
 
 class StopRequest:
     """An event that a signal handler may set.
@@ -39,3 +41,7 @@
     async def wait(self) -> None:
         """Wait until the event is set."""
         await self._reader.recv(1, socket.MSG_PEEK)
+
+    async def take(self) -> None:
+        """Wait until the event is set, and clear it."""
+        await self._reader.recv(CLEAR_BYTES)
--- /dev/null
+++ b/src/kingcupusher/_discovery/catalog.py
@@ -0,0 +1,244 @@
+"""The entry's picture of routes, targets, zones and other entries; pure, without I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from kingcupusher._core import Registry
+from kingcupusher._discovery.changes import (
+    Change,
+    EntryGone,
+    EntrySeen,
+    RoutesPublished,
+    TargetGone,
+    TargetSeen,
+    ZoneReturned,
+    ZoneTakenOut,
+)
+from kingcupusher._discovery.model import Route, RouteTable, ServicePolicy, TargetRecord
+from kingcupusher._discovery.splits import WeightedTurn
+
+RETURN_GRACE_MS = 2_200.0
+"""Registrations that lapsed in an outage of the store are back within 2 s of its return."""
+ENTRY_MEMORY_MS = 30_000.0
+"""An entry that restarts is counted meanwhile, so that shares of a limit do not grow at once."""
+
+
+class Target:
+    """A registered target. ``gone_ms`` is when a lapsed registration is taken for gone."""
+
+    __slots__ = ("gone_ms", "record", "warm_ms")
+
+    def __init__(self, record: TargetRecord, *, now_ms: float) -> None:
+        self.record = record
+        self.warm_ms = now_ms + record.cold_left_ms
+        self.gone_ms: float | None = None
+
+    @property
+    def target_id(self) -> str:
+        """Identity of the target."""
+        return self.record.target_id
+
+
+_HANDLERS: Registry[Callable[[Catalog, Change, float], None]] = Registry("change")
+
+
+class Catalog:
+    """Applies changes and answers what may be used now."""
+
+    __slots__ = (
+        "_by_host",
+        "_entries",
+        "_grace_end_ms",
+        "_turns",
+        "generation",
+        "listeners",
+        "table",
+        "targets",
+        "zones_out",
+    )
+
+    def __init__(self) -> None:
+        self.table: RouteTable | None = None
+        self.targets: dict[str, Target] = {}
+        self.zones_out: set[str] = set()
+        self.generation = 0
+        self.listeners: list[Callable[[str, dict[str, object]], None]] = []
+        self._by_host: dict[bytes, list[Route]] = {}
+        self._entries: dict[str, float | None] = {}
+        self._grace_end_ms = 0.0
+        self._turns: dict[tuple[str, tuple[object, ...]], WeightedTurn] = {}
+
+    # -- changes
+
+    def apply(self, changes: Iterable[Change], *, now_ms: float) -> None:
+        """Take over ``changes``, oldest first."""
+        for change in changes:
+            _HANDLERS.get(type(change).__name__)(self, change, now_ms)
+            self.generation += 1
+
+    def replace(self, changes: Iterable[Change], *, now_ms: float) -> None:
+        """Take over a whole picture: what it lacks is treated as removed."""
+        changes = list(changes)
+        seen = {c.record.target_id for c in changes if isinstance(c, TargetSeen)}
+        out = {c.zone for c in changes if isinstance(c, ZoneTakenOut)}
+        entries = {c.name for c in changes if isinstance(c, EntrySeen)}
+        missing: list[Change] = [TargetGone(i) for i in self.targets if i not in seen]
+        missing += [ZoneReturned(zone) for zone in self.zones_out if zone not in out]
+        missing += [EntryGone(name) for name in self._entries if name not in entries]
+        self.apply(missing + changes, now_ms=now_ms)
+
+    def on_source_return(self, *, now_ms: float) -> None:
+        """Note that the store answers again after an outage."""
+        self._grace_end_ms = now_ms + RETURN_GRACE_MS
+
+    def expire(self, *, now_ms: float) -> None:
+        """Drop the targets whose lapsed registration did not come back in time."""
+        for target in [t for t in self.targets.values() if t.gone_ms is not None]:
+            if target.gone_ms is not None and target.gone_ms <= now_ms:
+                self._drop(target.target_id, "registration did not return")
+
+    # -- questions
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether routes are known, so that requests can be decided."""
+        return self.table is not None
+
+    def route_for(self, host: bytes, path: bytes) -> Route | None:
+        """Return the route with the longest prefix of ``path`` among those of ``host``."""
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def service_for(self, route: Route) -> ServicePolicy | None:
+        """Return the service that gets the next request of ``route``, by the weights."""
+        if self.table is None:
+            return None
+        key = (route.name, route.parts)
+        turn = self._turns.get(key)
+        if turn is None:
+            turn = self._turns[key] = WeightedTurn(route.parts)
+        return self.table.services.get(turn.next_service())
+
+    def usable(self, service: str) -> list[Target]:
+        """Return the targets of ``service`` that are not leaving and in no zone taken out."""
+        return [
+            target
+            for target in self.targets.values()
+            if target.record.service == service
+            and not target.record.is_draining
+            and target.record.zone not in self.zones_out
+        ]
+
+    def may_send(self, target: Target) -> bool:
+        """Return whether ``target`` is still the one that was chosen and may get work."""
+        return (
+            self.targets.get(target.target_id) is target
+            and not target.record.is_draining
+            and target.record.zone not in self.zones_out
+        )
+
+    def entry_names(self, *, now_ms: float) -> list[str]:
+        """Return the entries that are registered or were so a short time ago."""
+        return [n for n, end_ms in self._entries.items() if end_ms is None or end_ms > now_ms]
+
+    # -- details
+
+    def _drop(self, target_id: str, reason: str) -> None:
+        if self.targets.pop(target_id, None) is not None:
+            self.generation += 1
+            self._tell("target removed", target=target_id, reason=reason)
+
+    def _tell(self, event: str, **fields: object) -> None:
+        for listener in self.listeners:
+            listener(event, fields)
+
+    @_HANDLERS.register("RoutesPublished")
+    def _on_routes(self, change: Change, now_ms: float) -> None:  # noqa: ARG002
+        assert isinstance(change, RoutesPublished)
+        table = change.table
+        if self.table is not None and table.version <= self.table.version:
+            return
+        before = self.table.version if self.table else None
+        self.table = table
+        self._turns = {key: turn for key, turn in self._turns.items() if key[1] in _parts(table)}
+        self._by_host = {}
+        for route in sorted(table.routes, key=lambda route: -len(route.prefix)):
+            self._by_host.setdefault(route.host, []).append(route)
+        self._tell("routes in force", version=table.version, before=before)
+
+    @_HANDLERS.register("TargetSeen")
+    def _on_target(self, change: Change, now_ms: float) -> None:
+        assert isinstance(change, TargetSeen)
+        record = change.record
+        known = self.targets.get(record.target_id)
+        if known is not None and known.record.born_unix_ms > record.born_unix_ms:
+            return
+        is_same = known is not None and _is_same_process(known.record, record)
+        if known is not None and is_same:
+            if known.record.is_draining != record.is_draining:
+                self._tell("target state", target=record.target_id, draining=record.is_draining)
+            known.record = record
+            known.gone_ms = None
+            known.warm_ms = now_ms + record.cold_left_ms
+            return
+        self.targets[record.target_id] = Target(record, now_ms=now_ms)
+        self._tell(
+            "target added",
+            target=record.target_id,
+            service=record.service,
+            zone=record.zone,
+            cold_left_ms=record.cold_left_ms,
+        )
+
+    @_HANDLERS.register("TargetGone")
+    def _on_target_gone(self, change: Change, now_ms: float) -> None:
+        assert isinstance(change, TargetGone)
+        target = self.targets.get(change.target_id)
+        if target is None:
+            return
+        if now_ms < self._grace_end_ms and not target.record.is_draining:
+            if target.gone_ms is None:
+                target.gone_ms = self._grace_end_ms
+                self._tell("target registration lapsed", target=change.target_id)
+            return
+        self._drop(change.target_id, "registration removed")
+
+    @_HANDLERS.register("ZoneTakenOut")
+    def _on_zone_out(self, change: Change, now_ms: float) -> None:  # noqa: ARG002
+        assert isinstance(change, ZoneTakenOut)
+        if change.zone not in self.zones_out:
+            self.zones_out.add(change.zone)
+            self._tell("zone taken out", zone=change.zone)
+
+    @_HANDLERS.register("ZoneReturned")
+    def _on_zone_in(self, change: Change, now_ms: float) -> None:  # noqa: ARG002
+        assert isinstance(change, ZoneReturned)
+        if change.zone in self.zones_out:
+            self.zones_out.discard(change.zone)
+            self._tell("zone returned", zone=change.zone)
+
+    @_HANDLERS.register("EntrySeen")
+    def _on_entry(self, change: Change, now_ms: float) -> None:  # noqa: ARG002
+        assert isinstance(change, EntrySeen)
+        self._entries[change.name] = None
+
+    @_HANDLERS.register("EntryGone")
+    def _on_entry_gone(self, change: Change, now_ms: float) -> None:
+        assert isinstance(change, EntryGone)
+        if change.name in self._entries and self._entries[change.name] is None:
+            self._entries[change.name] = now_ms + ENTRY_MEMORY_MS
+
+
+def _is_same_process(known: TargetRecord, record: TargetRecord) -> bool:
+    return (known.born_unix_ms, known.address, known.service) == (
+        record.born_unix_ms,
+        record.address,
+        record.service,
+    )
+
+
+def _parts(table: RouteTable) -> set[tuple[object, ...]]:
+    return {route.parts for route in table.routes}
--- a/src/kingcupusher/_entry/control.py
+++ b/src/kingcupusher/_entry/control.py
@@ -6,7 +6,7 @@
 from kingcupusher._config import Outcome, Publisher
 from kingcupusher._core import now_ms
 from kingcupusher._entry.parts import EntryParts
-from kingcupusher._entry.stop import StopRequest
+from kingcupusher._core.stop import StopRequest
 from kingcupusher._membership import RightKind
 from kingcupusher._observe.metrics import render
 
--- a/src/kingcupusher/_entry/registration.py
+++ b/src/kingcupusher/_entry/registration.py
@@ -21,7 +21,7 @@
     member_key,
     members_in,
 )
-from kingcupusher._entry.stop import StopRequest
+from kingcupusher._core.stop import StopRequest
 from kingcupusher._entry.tasks import run_until_first_ends
 from kingcupusher._membership import Membership
 from kingcupusher._platform import ConflictError, KeyValueClient, Lease, LeaseLostError
--- /dev/null
+++ b/src/kingcupusher/_gateway/attempt.py
@@ -0,0 +1,115 @@
+"""One send of a request to one target, and what became of it."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from msgspec import Struct
+
+from kingcupusher._core import now_ms
+from kingcupusher._gateway.dialect import Dialect, Verdict
+from kingcupusher._gateway.survey import Answer
+from kingcupusher._http.client_connection import ClientConnection
+from kingcupusher._http.errors import ExchangeError, ResetError
+from kingcupusher._http.heads import RequestHead
+from kingcupusher._http.whole import WholeResponse, encode_request, read_response
+
+
+class SendOutcome(Enum):
+    """What is known about a request after it was given to a target."""
+
+    SUCCESS = "success"
+    FAILURE = "failure"
+    NOT_RUN = "not-run"
+    BROKEN = "broken"
+
+
+OUTCOME_OF_VERDICT = {
+    Verdict.SUCCESS: SendOutcome.SUCCESS,
+    Verdict.FAILURE: SendOutcome.FAILURE,
+    Verdict.NOT_RUN: SendOutcome.NOT_RUN,
+    Verdict.INVALID: SendOutcome.BROKEN,
+}
+MAX_FOREIGN_RESPONSES = 2
+METHODS_WITH_BODY = frozenset({b"POST", b"PUT", b"PATCH"})
+
+
+class SendResult(Struct):
+    """Outcome of one send, with the response if a valid one came."""
+
+    attempt: Attempt
+    outcome: SendOutcome
+    response: WholeResponse | None = None
+    reason: str = ""
+
+
+class Attempt:
+    """A request on its way to one target."""
+
+    __slots__ = ("_body", "_dialect", "_head", "_request_id", "answer", "ended_ms", "sent_ms")
+
+    def __init__(
+        self,
+        answer: Answer,
+        head: RequestHead,
+        body: bytes,
+        *,
+        request_id: bytes,
+        dialect: Dialect,
+    ) -> None:
+        self.answer = answer
+        self._head = head
+        self._body = body
+        self._request_id = request_id
+        self._dialect = dialect
+        self.sent_ms = 0.0
+        self.ended_ms = 0.0
+
+    async def run(self, *, deadline_ms: float) -> SendResult:
+        """Send the request and read the response; the connection is given back."""
+        link = self.answer.link
+        connection = self.answer.connection
+        is_whole = False
+        link.in_flight += 1
+        self.sent_ms = now_ms()
+        try:
+            result = await self._exchange(connection, deadline_ms)
+            is_whole = result.response is not None
+        except ExchangeError as error:
+            result = SendResult(self, SendOutcome.BROKEN, reason=str(error))
+        finally:
+            link.in_flight -= 1
+            self.ended_ms = now_ms()
+            await link.pool.release(connection, reusable=is_whole)
+        if result.outcome is not SendOutcome.SUCCESS:
+            link.on_failure(now_ms=self.ended_ms)
+        return result
+
+    async def _exchange(self, connection: ClientConnection, deadline_ms: float) -> SendResult:
+        connection.start_next()
+        await connection.send(self._encode(connection, deadline_ms))
+        response = await read_response(connection)
+        for _ in range(MAX_FOREIGN_RESPONSES):
+            if self._dialect.belongs_to(response, self._request_id):
+                break
+            # The late second answer to an earlier request; the one to this request follows.
+            connection.expect_another()
+            response = await read_response(connection)
+        else:
+            raise ResetError(f"{connection.address} sent responses to other requests")
+        verdict = self._dialect.verdict(response)
+        outcome = OUTCOME_OF_VERDICT[verdict]
+        if verdict is Verdict.INVALID:
+            return SendResult(self, outcome, reason="the response is not the target's own")
+        return SendResult(self, outcome, response)
+
+    def _encode(self, connection: ClientConnection, deadline_ms: float) -> bytes:
+        remaining_ms = max(1, int(deadline_ms - now_ms()))
+        headers = self._dialect.request_headers(
+            self._head, target_id=self.answer.target.target_id, remaining_ms=remaining_ms
+        )
+        if self._body or self._head.method in METHODS_WITH_BODY:
+            headers.append((b"content-length", b"%d" % len(self._body)))
+        return encode_request(
+            connection, self._head.method, self._head.target, headers, self._body
+        )
--- /dev/null
+++ b/src/kingcupusher/_gateway/exchange.py
@@ -0,0 +1,260 @@
+"""The life of one caller request, from its head to its response."""
+
+from __future__ import annotations
+
+import curio
+
+from kingcupusher._core import now_ms
+from kingcupusher._discovery import Route, ServicePolicy
+from kingcupusher._gateway.attempt import Attempt, SendOutcome, SendResult
+from kingcupusher._gateway.refusals import (
+    ENDED,
+    NO_ROUTE,
+    NO_ROUTES_YET,
+    NO_TARGET,
+    TIMED_OUT,
+    TIMED_OUT_UNSENT,
+    UNKNOWN_OUTCOME,
+    Refusal,
+)
+from kingcupusher._gateway.state import Gateway
+from kingcupusher._gateway.survey import Answer
+from kingcupusher._http.errors import DeadlineError
+from kingcupusher._http.pipeline import CallerRequest
+from kingcupusher._http.timer import RequestTimer
+from kingcupusher._http.whole import WholeResponse
+
+MAX_SENDS = 4
+START_WAIT_MS = 300.0
+"""A process that has just started waits this long for the routes before it refuses."""
+POLL_S = 0.01
+HOLD_SHARE = 0.125
+"""Share of the latency objective for which a request waits for a usable target."""
+
+
+class Exchange:
+    """One request. :meth:`run` gives the caller exactly one response."""
+
+    __slots__ = (
+        "_caller",
+        "_deadline_ms",
+        "_fallback",
+        "_gateway",
+        "_may_have_run",
+        "_request_id",
+        "_results",
+        "_route",
+        "_run_targets",
+        "_sends",
+        "_service",
+        "_tasks",
+        "_tried",
+    )
+
+    def __init__(self, caller: CallerRequest, gateway: Gateway) -> None:
+        self._caller = caller
+        self._gateway = gateway
+        self._request_id = gateway.dialect.request_id(caller.head)
+        self._deadline_ms = 0.0
+        self._route: Route | None = None
+        self._service: ServicePolicy | None = None
+        self._results: curio.Queue = curio.Queue()
+        self._tasks: set[curio.Task] = set()
+        self._tried: set[str] = set()
+        self._run_targets: set[str] = set()
+        self._sends: list[Attempt] = []
+        self._may_have_run = False
+        self._fallback: WholeResponse | None = None
+
+    async def run(self) -> None:
+        """Serve the request."""
+        response: WholeResponse | Refusal
+        try:
+            response = await self._decide()
+        finally:
+            await self._end_tasks()
+        if isinstance(response, Refusal):
+            await self._refuse(response)
+        else:
+            await self._deliver(response)
+
+    # -- decisions
+
+    async def _decide(self) -> WholeResponse | Refusal:
+        refusal = await self._find_route()
+        if refusal is not None:
+            return refusal
+        assert self._route is not None
+        if not self._route.is_idempotent:
+            await self._caller.wait_until_first()
+        task = await curio.current_task()
+        try:
+            async with RequestTimer(task, deadline_ms=self._deadline_ms):
+                return await self._serve()
+        except DeadlineError:
+            if self._fallback is not None:
+                return self._fallback
+            return TIMED_OUT if self._may_have_run else TIMED_OUT_UNSENT
+
+    async def _find_route(self) -> Refusal | None:
+        catalog = self._gateway.catalog
+        until_ms = self._caller.received_ms + START_WAIT_MS
+        while not catalog.is_complete:
+            if now_ms() >= until_ms:
+                return NO_ROUTES_YET
+            await curio.sleep(POLL_S)
+        head = self._caller.head
+        host = _host_name(dict(head.headers).get(b"host", b""))
+        route = catalog.route_for(host, head.target.partition(b"?")[0])
+        if route is None:
+            return NO_ROUTE
+        self._route = route
+        left_ms = self._gateway.dialect.time_left_ms(head)
+        timeout_ms = route.timeout_ms if left_ms is None else min(route.timeout_ms, left_ms)
+        self._deadline_ms = self._caller.received_ms + timeout_ms
+        return None
+
+    async def _serve(self) -> WholeResponse | Refusal:
+        assert self._route is not None
+        self._service = self._gateway.catalog.service_for(self._route)
+        if self._service is None:
+            return NO_TARGET
+        self._gateway.budget(self._service.name).on_request(now_ms=now_ms())
+        hold_until_ms = self._caller.received_ms + self._route.objective_ms * HOLD_SHARE
+        answer = await self._choose(hold_until_ms)
+        if answer is None:
+            return NO_TARGET
+        await self._send(answer)
+        while self._tasks:
+            result: SendResult = await self._results.get()
+            self._note(result)
+            if result.outcome is SendOutcome.SUCCESS and result.response is not None:
+                return result.response
+            if not self._tasks:
+                await self._try_again()
+        return self._final()
+
+    async def _choose(self, hold_until_ms: float) -> Answer | None:
+        assert self._service is not None
+        while True:
+            answer = await self._gateway.selector.choose(
+                self._service, exclude=self._tried, deadline_ms=self._deadline_ms
+            )
+            if answer is not None or now_ms() >= hold_until_ms:
+                return answer
+            await curio.sleep(POLL_S)
+
+    async def _send(self, answer: Answer) -> None:
+        attempt = Attempt(
+            answer,
+            self._caller.head,
+            self._caller.body,
+            request_id=self._request_id,
+            dialect=self._gateway.dialect,
+        )
+        target_id = answer.target.target_id
+        self._tried.add(target_id)
+        self._run_targets.add(target_id)
+        self._sends.append(attempt)
+        self._may_have_run = True
+        task = await curio.spawn(self._run_attempt, attempt, daemon=True)
+        self._tasks.add(task)
+
+    async def _run_attempt(self, attempt: Attempt) -> None:
+        result = await attempt.run(deadline_ms=self._deadline_ms)
+        self._tasks.discard(await curio.current_task())
+        await self._results.put(result)
+
+    def _note(self, result: SendResult) -> None:
+        if result.outcome is SendOutcome.NOT_RUN:
+            self._run_targets.discard(result.attempt.answer.target.target_id)
+            self._may_have_run = bool(self._run_targets)
+        elif result.outcome is SendOutcome.FAILURE:
+            self._fallback = result.response
+        self._log_send(result)
+
+    async def _try_again(self) -> None:
+        """Send the request to another target if its kind and the bounds allow that."""
+        assert self._route is not None and self._service is not None
+        is_safe = self._route.is_idempotent or not self._may_have_run
+        has_sends = len(self._sends) < MAX_SENDS
+        has_targets = len(self._run_targets) < self._route.max_targets
+        if not (is_safe and has_sends and has_targets):
+            return
+        current_ms = now_ms()
+        budget = self._gateway.budget(self._service.name)
+        slack = self._gateway.repeat_slack(now_ms=current_ms)
+        if budget.left(slack=slack, now_ms=current_ms) < 1.0:
+            return
+        answer = await self._choose(current_ms)
+        if answer is None:
+            return
+        budget.try_spend(slack=slack, now_ms=current_ms)
+        await self._send(answer)
+
+    def _final(self) -> WholeResponse | Refusal:
+        if self._fallback is not None:
+            return self._fallback
+        return UNKNOWN_OUTCOME if self._may_have_run else NO_TARGET
+
+    # -- the end
+
+    async def _end_tasks(self) -> None:
+        for task in list(self._tasks):
+            await task.cancel()
+
+    async def _deliver(self, response: WholeResponse) -> None:
+        headers = self._gateway.dialect.response_headers(response)
+        headers.append((b"content-length", b"%d" % len(response.body)))
+        self._log_end(response.status, "delivered")
+        await self._caller.respond(response.status, headers, response.body, response.reason)
+
+    async def _refuse(self, refusal: Refusal) -> None:
+        if refusal.is_not_run and self._gateway.is_stopping:
+            refusal = ENDED
+        headers = self._gateway.dialect.refusal_headers(
+            self._caller.head, retry_after_ms=refusal.retry_after_ms
+        )
+        body = f"{refusal.reason}\n".encode()
+        headers.append((b"content-type", b"text/plain; charset=utf-8"))
+        headers.append((b"content-length", b"%d" % len(body)))
+        self._log_end(refusal.status, refusal.reason)
+        await self._caller.respond(refusal.status, headers, body, b"")
+
+    def _log_send(self, result: SendResult) -> None:
+        attempt = result.attempt
+        reading = attempt.answer.reading
+        self._gateway.log.request(
+            "send",
+            id=self._request_id.decode("latin-1"),
+            target=attempt.answer.target.target_id,
+            outcome=result.outcome.value,
+            status=result.response.status if result.response else 0,
+            reason=result.reason,
+            elapsed_ms=round(attempt.ended_ms - attempt.sent_ms, 1),
+            reading_age_ms=round(attempt.sent_ms - reading.read_ms, 1),
+            running=reading.running,
+            waiting=reading.waiting,
+            slowness_percent=reading.slowness_percent,
+            cold_left_ms=round(reading.cold_left_ms),
+        )
+
+    def _log_end(self, status: int, outcome: str) -> None:
+        table = self._gateway.catalog.table
+        self._gateway.log.request(
+            "request",
+            id=self._request_id.decode("latin-1"),
+            route=self._route.name if self._route else None,
+            service=self._service.name if self._service else None,
+            routes_version=table.version if table else None,
+            status=status,
+            outcome=outcome,
+            sends=len(self._sends),
+            elapsed_ms=round(now_ms() - self._caller.received_ms, 1),
+        )
+
+
+def _host_name(value: bytes) -> bytes:
+    """Return the value of a ``Host`` header in lower case and without its port."""
+    name, separator, port = value.lower().rpartition(b":")
+    return name if separator and port.isdigit() else value.lower()
--- /dev/null
+++ b/src/kingcupusher/_gateway/links.py
@@ -0,0 +1,79 @@
+"""Connections to targets and what this entry itself has seen of them."""
+
+from __future__ import annotations
+
+from kingcupusher._discovery import Catalog, Target
+from kingcupusher._http.pool import ConnectionPool
+from kingcupusher._limits.cold import ColdWindow
+
+SUSPEND_MS = 1_000.0
+MAX_SUSPEND_MS = 8_000.0
+FORGIVE_MS = 6_000.0
+"""One failure is forgotten in this time."""
+DEFAULT_IDLE_MS = 4_000.0
+
+
+class Link:
+    """This entry's connections to one target, and its own experience with it."""
+
+    __slots__ = ("_failures", "_noted_ms", "cold", "in_flight", "pool", "suspended_ms", "target")
+
+    def __init__(self, target: Target, *, limit: int) -> None:
+        self.target = target
+        self.pool = ConnectionPool(target.record.address, limit=limit, max_idle_ms=DEFAULT_IDLE_MS)
+        self.cold = ColdWindow()
+        self.in_flight = 0
+        self.suspended_ms = 0.0
+        self._failures = 0.0
+        self._noted_ms = 0.0
+
+    def is_suspended(self, *, now_ms: float) -> bool:
+        """Whether the target failed lately, so that others are preferred."""
+        return now_ms < self.suspended_ms
+
+    def on_failure(self, *, now_ms: float) -> None:
+        """Prefer others for a time that doubles with each failure that is not forgotten."""
+        elapsed_ms = now_ms - self._noted_ms
+        self._failures = max(0.0, self._failures - elapsed_ms / FORGIVE_MS) + 1.0
+        self._noted_ms = now_ms
+        suspend_ms = min(MAX_SUSPEND_MS, SUSPEND_MS * 2.0 ** (self._failures - 1.0))
+        self.suspended_ms = max(self.suspended_ms, now_ms + suspend_ms)
+
+
+class Links:
+    """The links of all targets; a target that restarts gets a new one."""
+
+    __slots__ = ("_catalog", "_connection_limit", "_links", "_retired")
+
+    def __init__(self, catalog: Catalog, *, connection_limit: int) -> None:
+        self._catalog = catalog
+        self._connection_limit = connection_limit
+        self._links: dict[str, Link] = {}
+        self._retired: list[Link] = []
+
+    def get(self, target: Target) -> Link:
+        """Return the link to ``target``."""
+        link = self._links.get(target.target_id)
+        if link is not None and link.target is target:
+            return link
+        if link is not None:
+            self._retired.append(link)
+        link = Link(target, limit=self._connection_limit)
+        self._links[target.target_id] = link
+        return link
+
+    async def tidy(self) -> None:
+        """Close the connections to targets that are gone, and those that were idle for long."""
+        known = self._catalog.targets
+        for target_id in [i for i, link in self._links.items() if known.get(i) is not link.target]:
+            self._retired.append(self._links.pop(target_id))
+        retired, self._retired = self._retired, []
+        for link in retired:
+            await link.pool.close()
+        for link in list(self._links.values()):
+            await link.pool.close_idle()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for link in [*self._links.values(), *self._retired]:
+            await link.pool.close()
--- /dev/null
+++ b/src/kingcupusher/_gateway/process.py
@@ -0,0 +1,142 @@
+"""The entry process on a platform whose targets register themselves: tasks, drain and end."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Callable
+from typing import Protocol
+
+import curio
+
+from kingcupusher._core import now_ms
+from kingcupusher._core.stop import StopRequest
+from kingcupusher._discovery import Catalog, Follower, Source
+from kingcupusher._discovery.presence import Presence, PresenceStore
+from kingcupusher._gateway.dialect import Dialect
+from kingcupusher._gateway.exchange import Exchange
+from kingcupusher._gateway.state import Gateway, GatewaySettings
+from kingcupusher._http.exchange import Response
+from kingcupusher._http.pipeline import CallerRequest, PipelineLimits, PipelineListener
+from kingcupusher._http.service import Request, serve
+from kingcupusher._observe.events import EventLog
+
+TIDY_S = 0.5
+ROTATION_MS = 3_000.0
+"""The balancer asks once a second and takes an entry out after two misses."""
+END_MARGIN_MS = 300.0
+DRAIN_POLL_S = 0.02
+
+
+class PlatformStore(Source, PresenceStore, Protocol):
+    """What an entry needs of the platform's store."""
+
+
+Reload = Callable[[], GatewaySettings]
+
+
+def run_gateway(
+    settings: GatewaySettings,
+    *,
+    store: PlatformStore,
+    dialect: Dialect,
+    reload: Reload,
+    log: EventLog,
+) -> None:
+    """Run one entry until SIGTERM."""
+    curio.run(GatewayProcess(settings, store=store, dialect=dialect, log=log, reload=reload).run)
+
+
+class GatewayProcess:
+    """The tasks of one entry."""
+
+    __slots__ = ("_follower", "_gateway", "_limits", "_listener", "_log", "_presence", "_reload")
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        *,
+        store: PlatformStore,
+        dialect: Dialect,
+        log: EventLog,
+        reload: Reload,
+    ) -> None:
+        catalog = Catalog()
+        self._log = log
+        self._reload = reload
+        self._gateway = Gateway(settings, catalog, dialect, log)
+        self._limits = PipelineLimits()
+        self._follower = Follower(store, catalog, on_event=log.event)
+        self._presence = Presence(store, catalog, entry=settings.entry, on_event=log.event)
+        self._listener: PipelineListener | None = None
+        catalog.listeners.append(self._on_change)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the balancer should send new connections here."""
+        return self._gateway.catalog.is_complete and not self._gateway.is_stopping
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then finish the requests in flight."""
+        settings = self._gateway.settings
+        stop = StopRequest()
+        stop.set_on((signal.SIGTERM, signal.SIGINT))
+        self._listener = PipelineListener(
+            settings.caller_address, self._handle, limits=self._limits
+        )
+        accepting = await curio.spawn(self._listener.run, daemon=True)
+        for task in (self._follower.run, self._presence.run, self._serve_readiness):
+            await curio.spawn(task, daemon=True)
+        await curio.spawn(self._tidy, daemon=True)
+        await curio.spawn(self._reload_when_asked, daemon=True)
+        self._log.event("start", callers=str(settings.caller_address))
+        await stop.wait()
+        await self._drain(accepting)
+        self._log.event("stop")
+
+    async def _drain(self, accepting: curio.Task) -> None:
+        """Leave the balancer's rotation, then finish what was accepted."""
+        assert self._listener is not None
+        start_ms = now_ms()
+        end_ms = start_ms + self._gateway.settings.rules.grace_ms - END_MARGIN_MS
+        self._gateway.is_stopping = True
+        self._log.event("draining", connections=self._listener.connection_count)
+        self._listener.announce_stop()
+        await curio.sleep(ROTATION_MS / 1000.0)
+        await accepting.cancel()
+        await self._listener.close()
+        while self._listener.connection_count and now_ms() < end_ms:
+            await self._listener.close_idle()
+            await curio.sleep(DRAIN_POLL_S)
+
+    async def _handle(self, caller: CallerRequest) -> None:
+        await Exchange(caller, self._gateway).run()
+
+    async def _serve_readiness(self) -> None:
+        await serve(self._gateway.settings.readiness_address, self._answer_readiness)
+
+    async def _answer_readiness(self, request: Request) -> Response:  # noqa: ARG002
+        return Response(200 if self.is_ready else 503, [], b"")
+
+    async def _tidy(self) -> None:
+        while True:
+            await curio.sleep(TIDY_S)
+            self._gateway.catalog.expire(now_ms=now_ms())
+            await self._gateway.links.tidy()
+            self._log.flush()
+
+    async def _reload_when_asked(self) -> None:
+        hangup = StopRequest()
+        hangup.set_on((signal.SIGHUP,))
+        while True:
+            await hangup.take()
+            self._log.event("settings changed", entry_name=self._reload().entry)
+
+    def _on_change(self, event: str, fields: dict[str, object]) -> None:
+        table = self._gateway.catalog.table
+        if event == "routes in force" and table is not None:
+            limits = table.limits
+            self._limits.max_head_bytes = limits.max_head_bytes
+            self._limits.max_body_bytes = limits.max_body_bytes
+            self._limits.head_timeout_ms = limits.head_timeout_ms
+            self._limits.idle_timeout_ms = limits.idle_timeout_ms
+        self._log.event(event, **fields)
--- /dev/null
+++ b/src/kingcupusher/_gateway/state.py
@@ -0,0 +1,85 @@
+"""What all requests of an entry share."""
+
+from __future__ import annotations
+
+from random import Random
+
+from kingcupusher._core.address import Address
+from kingcupusher._discovery import Catalog
+from kingcupusher._gateway.dialect import Dialect
+from kingcupusher._gateway.links import Links
+from kingcupusher._gateway.rules import FleetRules
+from kingcupusher._gateway.selector import Selector
+from kingcupusher._gateway.survey import Surveyor
+from kingcupusher._limits.repeats import RepeatBudget
+from kingcupusher._observe.events import EventLog
+
+from msgspec import Struct
+
+UNKNOWN_FLEET_SIZE = 32
+"""Number of entries that is assumed until they are known, so that shares of a bound stay small."""
+
+
+class GatewaySettings(Struct, frozen=True, kw_only=True):
+    """Where an entry listens, who it is and which bounds it keeps."""
+
+    entry: str
+    zone: str
+    caller_address: Address
+    readiness_address: Address
+    metrics_address: Address | None
+    rules: FleetRules
+    connection_limit: int
+
+
+class Gateway:
+    """Shared state of the request path."""
+
+    __slots__ = (
+        "_budgets",
+        "catalog",
+        "dialect",
+        "is_stopping",
+        "links",
+        "log",
+        "selector",
+        "settings",
+        "stop_by_ms",
+        "surveyor",
+    )
+
+    def __init__(
+        self, settings: GatewaySettings, catalog: Catalog, dialect: Dialect, log: EventLog
+    ) -> None:
+        self.settings = settings
+        self.catalog = catalog
+        self.dialect = dialect
+        self.log = log
+        self.links = Links(catalog, connection_limit=settings.connection_limit)
+        self.surveyor = Surveyor(self.links, dialect)
+        self.selector = Selector(
+            catalog,
+            self.links,
+            self.surveyor,
+            entry=settings.entry,
+            zone=settings.zone,
+            rules=settings.rules,
+            rng=Random(),
+        )
+        self._budgets: dict[str, RepeatBudget] = {}
+        self.is_stopping = False
+        self.stop_by_ms = float("inf")
+
+    def budget(self, service: str) -> RepeatBudget:
+        """Return the budget of repeats to ``service``."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            rules = self.settings.rules
+            budget = RepeatBudget(ratio=rules.retry_ratio, window_ms=rules.retry_window_ms)
+            self._budgets[service] = budget
+        return budget
+
+    def repeat_slack(self, *, now_ms: float) -> float:
+        """Return this entry's part of the repeats that the fleet may send beside the ratio."""
+        entries = len(self.catalog.entry_names(now_ms=now_ms)) or UNKNOWN_FLEET_SIZE
+        return self.settings.rules.retry_slack / entries
--- a/src/kingcupusher/_http/client_connection.py
+++ b/src/kingcupusher/_http/client_connection.py
@@ -24,6 +24,7 @@
 
 READ_BYTES = 65_536
 END = h11.EndOfMessage()
+PLACEHOLDER_HEADERS = [(b"host", b"unused")]
 
 
 class ClientConnection:
@@ -31,6 +32,7 @@
 
     __slots__ = (
         "_http",
+        "_is_out_of_step",
         "_method",
         "_sock",
         "address",
@@ -44,6 +46,7 @@
         self._sock = sock
         self._http = h11.Connection(h11.CLIENT)
         self._method = b""
+        self._is_out_of_step = False
         self.address = address
         self.idle_since_ms = now_ms()
         self.is_aborted = False
@@ -116,7 +119,21 @@
         """Whether the exchange ended cleanly, so that another may follow."""
         http = self._http
         ended = http.our_state is h11.DONE and http.their_state is h11.DONE
-        return ended and not http.trailing_data[0] and not self.is_aborted
+        in_step = not self.is_aborted and not self._is_out_of_step
+        return ended and not http.trailing_data[0] and in_step
+
+    def expect_another(self) -> None:
+        """Read the bytes behind a complete response as a further response to the same request.
+
+        For a target that answered an earlier request twice. The connection is not reused.
+        """
+        rest = self._http.trailing_data[0]
+        self._http = h11.Connection(h11.CLIENT)
+        self._http.send(h11.Request(method=self._method, target=b"/", headers=PLACEHOLDER_HEADERS))
+        self._http.send(END)
+        if rest:
+            self._http.receive_data(rest)
+        self._is_out_of_step = True
 
     def is_stale(self) -> bool:
         """Whether an error on this connection may only mean that the peer had closed it idle."""
--- a/src/kingcupusher/_http/tcp.py
+++ b/src/kingcupusher/_http/tcp.py
@@ -8,6 +8,9 @@
 
 from kingcupusher._core.address import Address
 
+KEEPALIVE_S = 1
+SILENCE_MS = 2_000
+
 
 async def connect(address: Address) -> curio.io.Socket:
     """Open a connection; errors of the operating system pass through.
@@ -24,3 +27,12 @@
         await sock.close()
         raise
     return sock
+
+
+def detect_silence(sock: curio.io.Socket) -> None:
+    """Let the system end a connection whose peer does not acknowledge probes for some seconds."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_MS)
--- a/testing/features/steps/stop_steps.py
+++ b/testing/features/steps/stop_steps.py
@@ -9,7 +9,7 @@
 import curio
 from behave import given, then, when
 
-from kingcupusher._entry.stop import StopRequest
+from kingcupusher._core.stop import StopRequest
 
 # Ends the scenario when the signal is lost; a request that arrives is noticed at once.
 LOST_S = 10.0
