Hold requests until a target is free and fast instead of crowding targets

Requests now wait in a line per service at the entry and go out when a target is at its usual speed with a slot to spare; what finds no place is refused.

--- a/src/kingcupusher/_gateway/attempt.py
+++ b/src/kingcupusher/_gateway/attempt.py
@@ -81,7 +81,10 @@
             link.in_flight -= 1
             self.ended_ms = now_ms()
             await link.pool.release(connection, reusable=is_whole)
-        if result.outcome is not SendOutcome.SUCCESS:
+        if result.outcome is SendOutcome.SUCCESS:
+            return result
+        # A full target refuses, and one that is crowded runs out of time, without being broken.
+        if result.outcome is SendOutcome.BROKEN or not self.answer.reading.is_crowded:
             link.on_failure(now_ms=self.ended_ms)
         return result
 
--- a/src/kingcupusher/_gateway/exchange.py
+++ b/src/kingcupusher/_gateway/exchange.py
@@ -17,19 +17,20 @@
     UNKNOWN_OUTCOME,
     Refusal,
 )
+from kingcupusher._gateway.line import Waiter
+from kingcupusher._gateway.selector import Survey
 from kingcupusher._gateway.state import Gateway
 from kingcupusher._gateway.survey import Answer
 from kingcupusher._http.errors import DeadlineError
 from kingcupusher._http.pipeline import CallerRequest
 from kingcupusher._http.timer import RequestTimer
 from kingcupusher._http.whole import WholeResponse
+from kingcupusher._routing.acceptance import Patience
 
 MAX_SENDS = 4
 START_WAIT_MS = 300.0
 """A process that has just started waits this long for the routes before it refuses."""
 POLL_S = 0.01
-HOLD_SHARE = 0.125
-"""Share of the latency objective for which a request waits for a usable target."""
 
 
 class Exchange:
@@ -120,29 +121,60 @@
         if self._service is None:
             return NO_TARGET
         self._gateway.budget(self._service.name).on_request(now_ms=now_ms())
-        hold_until_ms = self._caller.received_ms + self._route.objective_ms * HOLD_SHARE
-        answer = await self._choose(hold_until_ms)
+        answer = await self._find_place()
         if answer is None:
             return NO_TARGET
         await self._send(answer)
         while self._tasks:
             result: SendResult = await self._results.get()
-            self._note(result)
+            await self._note(result)
             if result.outcome is SendOutcome.SUCCESS and result.response is not None:
                 return result.response
             if not self._tasks:
                 await self._try_again()
         return self._final()
 
-    async def _choose(self, hold_until_ms: float) -> Answer | None:
-        assert self._service is not None
-        while True:
-            answer = await self._gateway.selector.choose(
-                self._service, exclude=self._tried, deadline_ms=self._deadline_ms
-            )
-            if answer is not None or now_ms() >= hold_until_ms:
+    async def _find_place(self) -> Answer | None:
+        """Return a place that is good enough, or the best there is after some waiting."""
+        assert self._route is not None and self._service is not None
+        line = self._gateway.line(self._service.name)
+        patience = Patience(
+            received_ms=self._caller.received_ms,
+            now_ms=now_ms(),
+            objective_ms=self._route.objective_ms,
+            deadline_ms=self._deadline_ms,
+        )
+        if not line:
+            answer = await self._ask(patience)
+            if answer is not None:
                 return answer
-            await curio.sleep(POLL_S)
+        waiter = Waiter(
+            patience,
+            exclude=self._tried,
+            priority=self._route.priority,
+            received_ms=self._caller.received_ms,
+            work_ms=self._gateway.work(self._route).work_ms,
+        )
+        started_ms = now_ms()
+        answer = await line.wait(waiter, self._service)
+        self._log_wait(answer, started_ms)
+        return answer or await self._ask(patience, is_last=True)
+
+    async def _ask(self, patience: Patience | None, *, is_last: bool = False) -> Answer | None:
+        """Ask for the best place; with ``patience``, return it only if it is good enough."""
+        assert self._service is not None
+        selector = self._gateway.selector
+        survey = await selector.survey(
+            self._service, exclude=self._tried, deadline_ms=self._deadline_ms
+        )
+        best = survey.answers[0] if survey.answers else None
+        if best is not None and patience is not None:
+            cost = selector.cost(best)
+            if not best.reading.is_cold and not patience.accepts(cost, is_last=is_last):
+                best = None
+        self._log_choice(survey, best)
+        await selector.give_back([a for a in survey.answers if a is not best])
+        return best
 
     async def _send(self, answer: Answer) -> None:
         attempt = Attempt(
@@ -165,7 +197,15 @@
         self._tasks.discard(await curio.current_task())
         await self._results.put(result)
 
-    def _note(self, result: SendResult) -> None:
+    async def _note(self, result: SendResult) -> None:
+        assert self._service is not None and self._route is not None
+        await self._gateway.line(self._service.name).on_freed()
+        if result.outcome is SendOutcome.SUCCESS:
+            attempt = result.attempt
+            self._gateway.work(self._route).on_response(
+                elapsed_ms=attempt.ended_ms - attempt.sent_ms,
+                cost=self._gateway.selector.cost(attempt.answer),
+            )
         if result.outcome is SendOutcome.NOT_RUN:
             self._run_targets.discard(result.attempt.answer.target.target_id)
             self._may_have_run = bool(self._run_targets)
@@ -184,12 +224,12 @@
         current_ms = now_ms()
         budget = self._gateway.budget(self._service.name)
         slack = self._gateway.repeat_slack(now_ms=current_ms)
-        if budget.left(slack=slack, now_ms=current_ms) < 1.0:
+        if not budget.try_spend(slack=slack, now_ms=current_ms):
             return
-        answer = await self._choose(current_ms)
+        answer = await self._ask(None)
         if answer is None:
+            budget.give_back()
             return
-        budget.try_spend(slack=slack, now_ms=current_ms)
         await self._send(answer)
 
     def _final(self) -> WholeResponse | Refusal:
@@ -221,6 +261,25 @@
         self._log_end(refusal.status, refusal.reason)
         await self._caller.respond(refusal.status, headers, body, b"")
 
+    def _log_choice(self, survey: Survey, best: Answer | None) -> None:
+        self._gateway.log.request(
+            "choice",
+            id=self._request_id.decode("latin-1"),
+            target=best.target.target_id if best else None,
+            asked=survey.asked,
+            answered=survey.answered,
+            usable=len(survey.answers),
+            elapsed_ms=round(survey.elapsed_ms, 1),
+        )
+
+    def _log_wait(self, answer: Answer | None, started_ms: float) -> None:
+        self._gateway.log.request(
+            "wait",
+            id=self._request_id.decode("latin-1"),
+            target=answer.target.target_id if answer else None,
+            elapsed_ms=round(now_ms() - started_ms, 1),
+        )
+
     def _log_send(self, result: SendResult) -> None:
         attempt = result.attempt
         reading = attempt.answer.reading
--- /dev/null
+++ b/src/kingcupusher/_gateway/line.py
@@ -0,0 +1,118 @@
+"""Requests of one service that wait for a good place at a target."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+import curio
+
+from kingcupusher._core import now_ms
+from kingcupusher._discovery import ServicePolicy
+from kingcupusher._gateway.selector import Selector
+from kingcupusher._gateway.survey import Answer
+from kingcupusher._routing.acceptance import Patience
+
+POLL_S = 0.06
+POLL_ASK_COUNT = 3
+
+
+class Waiter:
+    """One request that waits; ``answer`` is its place when one was found."""
+
+    __slots__ = ("answer", "exclude", "order", "patience", "woken", "work_ms")
+
+    def __init__(
+        self,
+        patience: Patience,
+        *,
+        exclude: Collection[str],
+        priority: int,
+        received_ms: float,
+        work_ms: float,
+    ) -> None:
+        self.patience = patience
+        self.exclude = exclude
+        self.order = (priority, received_ms)
+        self.work_ms = work_ms
+        self.woken = curio.Event()
+        self.answer: Answer | None = None
+
+    def rank(self, *, now_ms: float) -> tuple[bool, int, float]:
+        """Return the waiter's position: those that can still be in time go first."""
+        is_late = not self.patience.is_in_time(work_ms=self.work_ms, now_ms=now_ms)
+        return (is_late, *self.order)
+
+
+class Line:
+    """The waiting requests of one service; one task asks targets on behalf of all of them."""
+
+    __slots__ = ("_freed", "_pump", "_selector", "_service", "_waiters")
+
+    def __init__(self, selector: Selector) -> None:
+        self._selector = selector
+        self._waiters: list[Waiter] = []
+        self._freed = curio.Event()
+        self._pump: curio.Task | None = None
+        self._service: ServicePolicy | None = None
+
+    def __len__(self) -> int:
+        return len(self._waiters)
+
+    async def wait(self, waiter: Waiter, service: ServicePolicy) -> Answer | None:
+        """Wait for a place until the end of the waiter's patience."""
+        self._service = service
+        self._waiters.append(waiter)
+        if self._pump is None:
+            self._pump = await curio.spawn(self._run, daemon=True)
+        try:
+            wait_s = max(0.0, (waiter.patience.hold_end_ms - now_ms()) / 1000.0)
+            await curio.ignore_after(wait_s, waiter.woken.wait)
+            answer, waiter.answer = waiter.answer, None
+            return answer
+        finally:
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+            if waiter.answer is not None:
+                await self._selector.give_back([waiter.answer])
+
+    async def on_freed(self) -> None:
+        """Note that a target of the service has finished a request of this entry."""
+        if self._waiters:
+            await self._freed.set()
+
+    async def _run(self) -> None:
+        try:
+            while self._waiters:
+                await self._serve_waiters()
+                self._freed.clear()
+                await curio.ignore_after(POLL_S, self._freed.wait)
+        finally:
+            self._pump = None
+
+    async def _serve_waiters(self) -> None:
+        assert self._service is not None
+        survey = await self._selector.survey(
+            self._service, exclude=(), count=POLL_ASK_COUNT, deadline_ms=float("inf")
+        )
+        left = list(survey.answers)
+        try:
+            current_ms = now_ms()
+            for waiter in sorted(self._waiters, key=lambda w: w.rank(now_ms=current_ms)):
+                answer = self._place_for(waiter, left)
+                if answer is None:
+                    continue
+                left.remove(answer)
+                waiter.answer = answer
+                self._waiters.remove(waiter)
+                await waiter.woken.set()
+        finally:
+            await self._selector.give_back(left)
+
+    def _place_for(self, waiter: Waiter, answers: list[Answer]) -> Answer | None:
+        for answer in answers:
+            if answer.target.target_id in waiter.exclude:
+                continue
+            if waiter.patience.accepts(self._selector.cost(answer)):
+                return answer
+            return None
+        return None
--- a/src/kingcupusher/_gateway/links.py
+++ b/src/kingcupusher/_gateway/links.py
@@ -4,6 +4,7 @@
 
 from kingcupusher._discovery import Catalog, Target
 from kingcupusher._http.pool import ConnectionPool
+from kingcupusher._limits.bucket import TokenBucket
 from kingcupusher._limits.cold import ColdWindow
 
 SUSPEND_MS = 1_000.0
@@ -11,17 +12,20 @@
 FORGIVE_MS = 6_000.0
 """One failure is forgotten in this time."""
 DEFAULT_IDLE_MS = 4_000.0
+FIRST_ASKS = 4.0
+"""Questions that a target which this entry has just met gets before its share is known."""
 
 
 class Link:
     """This entry's connections to one target, and its own experience with it."""
 
-    __slots__ = ("_failures", "_noted_ms", "cold", "in_flight", "pool", "suspended_ms", "target")
+    __slots__ = ("_failures", "_noted_ms", "asks", "cold", "in_flight", "pool", "suspended_ms", "target")
 
     def __init__(self, target: Target, *, limit: int) -> None:
         self.target = target
         self.pool = ConnectionPool(target.record.address, limit=limit, max_idle_ms=DEFAULT_IDLE_MS)
         self.cold = ColdWindow()
+        self.asks = TokenBucket(per_s=0.0, burst=FIRST_ASKS, now_ms=0.0)
         self.in_flight = 0
         self.suspended_ms = 0.0
         self._failures = 0.0
--- a/src/kingcupusher/_gateway/selector.py
+++ b/src/kingcupusher/_gateway/selector.py
@@ -1,8 +1,9 @@
-"""Choice of a target for one request by asking a few for their load."""
+"""Finds places for requests by asking a few targets for their load."""
 
 from __future__ import annotations
 
 from collections.abc import Collection, Sequence
+from math import inf
 from random import Random
 
 from kingcupusher._core import now_ms
@@ -11,15 +12,35 @@
 from kingcupusher._gateway.rules import FleetRules
 from kingcupusher._gateway.survey import Answer, Surveyor
 from kingcupusher._limits.cold import share_of
+from kingcupusher._routing.acceptance import GOOD_COST
 from kingcupusher._routing.selection import ASK_SELECTIONS, cost
 
 ASK_COUNT = 5
 """More than five questions gained nothing on quiet days (docs/decisions/asking.md)."""
 NEAR_COUNT = 10
-GOOD_COST = 1.3
-"""An answer below this is good enough; above it, further targets are asked."""
 MAX_ROUNDS = 3
+MAX_WAITING = 3
+"""A target with more waiting requests is about to refuse some."""
 SELECTION = "near_first"
+ASK_SHARE = 0.85
+"""Part of the allowed questions that is used; entries that start anew begin with full buckets."""
+ASK_BURST_S = 4.0
+UNKNOWN_FLEET_SIZE = 32
+"""Number of entries that is assumed until they are known, so that shares of a bound stay small."""
+
+
+class Survey:
+    """What targets answered: the usable ones, best first. The holder owns their connections."""
+
+    __slots__ = ("answered", "answers", "asked", "elapsed_ms")
+
+    def __init__(
+        self, answers: list[Answer], *, asked: int, answered: int, elapsed_ms: float
+    ) -> None:
+        self.answers = answers
+        self.asked = asked
+        self.answered = answered
+        self.elapsed_ms = elapsed_ms
 
 
 class _Candidate:
@@ -38,7 +59,7 @@
 
 
 class Selector:
-    """Finds the target that is expected to answer first."""
+    """Finds the targets that are expected to answer first."""
 
     __slots__ = ("_catalog", "_entry", "_links", "_rng", "_rules", "_surveyor", "_zone")
 
@@ -61,69 +82,105 @@
         self._rules = rules
         self._rng = rng
 
-    async def choose(
-        self, service: ServicePolicy, *, exclude: Collection[str], deadline_ms: float
-    ) -> Answer | None:
-        """Return the best target that answered, with an open connection, or None."""
+    async def survey(
+        self,
+        service: ServicePolicy,
+        *,
+        exclude: Collection[str],
+        deadline_ms: float,
+        count: int = ASK_COUNT,
+    ) -> Survey:
+        """Ask ``count`` targets, and further ones if no answer is good."""
+        started_ms = now_ms()
         order = self._order(service, exclude)
         answers: list[Answer] = []
-        chosen: Answer | None = None
+        asked = 0
         try:
-            for first in range(0, min(len(order), ASK_COUNT * MAX_ROUNDS), ASK_COUNT):
+            for first in range(0, min(len(order), count * MAX_ROUNDS), count):
+                batch = order[first : first + count]
+                if first and answers:
+                    batch = [t for t in batch if not self._is_suspended(t)]
+                for target in batch:
+                    self._links.get(target).asks.try_take(now_ms=started_ms)
+                asked += len(batch)
                 answers += await self._surveyor.ask(
-                    order[first : first + ASK_COUNT],
-                    health_path=service.health_path,
-                    deadline_ms=deadline_ms,
+                    batch, health_path=service.health_path, deadline_ms=deadline_ms
                 )
-                best = self._best(answers)
-                if best is not None and self._cost(best) <= GOOD_COST:
+                best = min(map(self.cost, self._usable(answers)), default=inf)
+                if best <= GOOD_COST:
                     break
-            chosen = self._best(answers) or self._cold_choice(service, answers)
-        finally:
-            await self._surveyor.give_back([a for a in answers if a is not chosen])
-        return chosen
+        except BaseException:
+            await self.give_back(answers)
+            raise
+        usable = sorted(self._usable(answers), key=self.cost)
+        if not usable:
+            usable = self._cold_place(service, answers)
+        await self.give_back([answer for answer in answers if answer not in usable])
+        return Survey(
+            usable, asked=asked, answered=len(answers), elapsed_ms=now_ms() - started_ms
+        )
+
+    async def give_back(self, answers: Collection[Answer]) -> None:
+        """Return the connections of answers that are not used."""
+        await self._surveyor.give_back(answers)
+
+    def _is_suspended(self, target: Target) -> bool:
+        return self._links.get(target).is_suspended(now_ms=now_ms())
 
     def _order(self, service: ServicePolicy, exclude: Collection[str]) -> Sequence[Target]:
         current_ms = now_ms()
+        per_s = self._asks_per_s(current_ms)
         candidates = [
             _Candidate(
                 target,
-                is_suspended=self._links.get(target).is_suspended(now_ms=current_ms),
+                is_suspended=self._is_suspended(target),
                 is_cold=target.warm_ms > current_ms,
             )
             for target in self._catalog.usable(service.name)
-            if target.target_id not in exclude
+            if target.target_id not in exclude and self._may_ask(target, per_s, current_ms)
         ]
         ordered = ASK_SELECTIONS.get(SELECTION).order(
             candidates, entry=self._entry, near=NEAR_COUNT, rng=self._rng
         )
         return [candidate.target for candidate in ordered]
 
-    def _best(self, answers: Sequence[Answer]) -> Answer | None:
-        """Return the cheapest warm target; one that calls itself ill only if there is no other."""
+    def _asks_per_s(self, now_ms: float) -> float:
+        """Return this entry's part of the questions that one target may get."""
+        entries = len(self._catalog.entry_names(now_ms=now_ms)) or UNKNOWN_FLEET_SIZE
+        return self._rules.probes_per_s * ASK_SHARE / entries
+
+    def _may_ask(self, target: Target, per_s: float, now_ms: float) -> bool:
+        asks = self._links.get(target).asks
+        asks.set_rate(per_s=per_s, burst=max(1.0, per_s * ASK_BURST_S))
+        return asks.has_token(now_ms=now_ms)
+
+    def _usable(self, answers: Sequence[Answer]) -> list[Answer]:
+        """Return the warm targets that are not full; ill ones only if there are no others."""
         warm = [
             answer
             for answer in answers
-            if not answer.reading.is_cold and self._catalog.may_send(answer.target)
+            if not answer.reading.is_cold
+            and answer.reading.waiting < MAX_WAITING
+            and self._catalog.may_send(answer.target)
         ]
-        healthy = [answer for answer in warm if answer.reading.is_healthy]
-        return min(healthy or warm, key=self._cost, default=None)
+        return [answer for answer in warm if answer.reading.is_healthy] or warm
 
-    def _cost(self, answer: Answer) -> float:
+    def cost(self, answer: Answer) -> float:
+        """Return the expected slowness of a request that is sent to the target now."""
         is_own_zone = answer.target.record.zone == self._zone
         return cost(answer.reading, is_own_zone=is_own_zone)
 
-    def _cold_choice(self, service: ServicePolicy, answers: Sequence[Answer]) -> Answer | None:
+    def _cold_place(self, service: ServicePolicy, answers: Sequence[Answer]) -> list[Answer]:
         """Return a cold target that bears one more request of this entry, if there is one."""
         total = int(service.cold_requests_per_s * self._rules.cold_overshoot)
         names = self._catalog.entry_names(now_ms=now_ms())
         cold = [a for a in answers if a.reading.is_cold and a.reading.is_healthy]
-        for answer in sorted(cold, key=self._cost):
+        for answer in sorted(cold, key=self.cost):
             if not self._catalog.may_send(answer.target):
                 continue
             share = share_of(
                 total, entry=self._entry, entries=names, target_id=answer.target.target_id
             )
             if answer.link.cold.try_send(limit=share, now_ms=now_ms()):
-                return answer
-        return None
+                return [answer]
+        return []
--- a/src/kingcupusher/_gateway/state.py
+++ b/src/kingcupusher/_gateway/state.py
@@ -4,20 +4,19 @@
 
 from random import Random
 
+from msgspec import Struct
+
 from kingcupusher._core.address import Address
-from kingcupusher._discovery import Catalog
+from kingcupusher._discovery import Catalog, Route
 from kingcupusher._gateway.dialect import Dialect
+from kingcupusher._gateway.line import Line
 from kingcupusher._gateway.links import Links
 from kingcupusher._gateway.rules import FleetRules
-from kingcupusher._gateway.selector import Selector
+from kingcupusher._gateway.selector import UNKNOWN_FLEET_SIZE, Selector
 from kingcupusher._gateway.survey import Surveyor
 from kingcupusher._limits.repeats import RepeatBudget
 from kingcupusher._observe.events import EventLog
-
-from msgspec import Struct
-
-UNKNOWN_FLEET_SIZE = 32
-"""Number of entries that is assumed until they are known, so that shares of a bound stay small."""
+from kingcupusher._routing.acceptance import WorkEstimate
 
 
 class GatewaySettings(Struct, frozen=True, kw_only=True):
@@ -37,6 +36,8 @@
 
     __slots__ = (
         "_budgets",
+        "_lines",
+        "_work",
         "catalog",
         "dialect",
         "is_stopping",
@@ -67,6 +68,8 @@
             rng=Random(),
         )
         self._budgets: dict[str, RepeatBudget] = {}
+        self._lines: dict[str, Line] = {}
+        self._work: dict[str, WorkEstimate] = {}
         self.is_stopping = False
         self.stop_by_ms = float("inf")
 
@@ -79,6 +82,20 @@
             self._budgets[service] = budget
         return budget
 
+    def line(self, service: str) -> Line:
+        """Return the requests that wait for a place at ``service``."""
+        line = self._lines.get(service)
+        if line is None:
+            line = self._lines[service] = Line(self.selector)
+        return line
+
+    def work(self, route: Route) -> WorkEstimate:
+        """Return the usual response time of the requests of ``route``."""
+        work = self._work.get(route.name)
+        if work is None:
+            work = self._work[route.name] = WorkEstimate(objective_ms=route.objective_ms)
+        return work
+
     def repeat_slack(self, *, now_ms: float) -> float:
         """Return this entry's part of the repeats that the fleet may send beside the ratio."""
         entries = len(self.catalog.entry_names(now_ms=now_ms)) or UNKNOWN_FLEET_SIZE
--- a/src/kingcupusher/_limits/repeats.py
+++ b/src/kingcupusher/_limits/repeats.py
@@ -36,6 +36,11 @@
         self._repeats_ms.append(now_ms)
         return True
 
+    def give_back(self) -> None:
+        """Take back the newest repeat, which was not sent."""
+        if self._repeats_ms:
+            self._repeats_ms.pop()
+
     def _trim(self, now_ms: float) -> None:
         oldest_ms = now_ms - self._window_ms
         for times in (self._requests_ms, self._repeats_ms):
--- a/src/kingcupusher/_observe/events.py
+++ b/src/kingcupusher/_observe/events.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from kingcupusher._core import now_ms
+from kingcupusher._limits.bucket import TokenBucket
 
 REQUEST_LINES_PER_S = 200.0
 EVENT_LINES_PER_S = 50.0
@@ -19,25 +20,18 @@
 class LineBudget:
     """Allows a number of lines a second and counts those above it."""
 
-    __slots__ = ("_credit", "_per_s", "_refilled_ms", "dropped")
+    __slots__ = ("_bucket", "dropped")
 
     def __init__(self, per_s: float) -> None:
-        self._per_s = per_s
-        self._credit = per_s * BURST_S
-        self._refilled_ms = now_ms()
+        self._bucket = TokenBucket(per_s=per_s, burst=per_s * BURST_S, now_ms=now_ms())
         self.dropped = 0
 
     def try_take(self) -> bool:
         """Return whether one more line may be written now."""
-        current_ms = now_ms()
-        earned = (current_ms - self._refilled_ms) / 1000.0 * self._per_s
-        self._credit = min(self._per_s * BURST_S, self._credit + earned)
-        self._refilled_ms = current_ms
-        if self._credit < 1.0:
-            self.dropped += 1
-            return False
-        self._credit -= 1.0
-        return True
+        if self._bucket.try_take(now_ms=now_ms()):
+            return True
+        self.dropped += 1
+        return False
 
 
 class EventLog:
