Notice within 3 s that a silent store is back

TCP keep-alive does not show it, since the store's host still acknowledges. A watch now waits 1.8 s and must be answered 0.8 s later; that time grows while the store is slow.

--- a/src/kingcupusher/_discovery/follower.py
+++ b/src/kingcupusher/_discovery/follower.py
@@ -12,7 +12,11 @@
 from kingcupusher._discovery.catalog import Catalog
 from kingcupusher._discovery.changes import Change
 
-WATCH_MS = 10_000.0
+WATCH_MS = 1_800.0
+"""A watch that hangs because the store went silent must be noticed within 3 s of its return."""
+CONFIRM_MS = 800.0
+MAX_CONFIRM_MS = 4_000.0
+"""How long after its wait a watch may be answered; it grows while the store is slow."""
 PAUSE_S = 0.25
 """Pause between watches; news of one moment then comes in one call. Drains allow 2 s."""
 RETRY_S = 0.3
@@ -37,20 +41,30 @@
 class Source(Protocol):
     """Where the news comes from."""
 
-    async def read_all(self) -> Snapshot:
+    async def read_all(self, *, timeout_ms: float) -> Snapshot:
         """Return the whole picture; raise :class:`SourceError`."""
 
-    async def wait_for_changes(self, *, after_revision: int, wait_ms: float) -> Snapshot:
+    async def wait_for_changes(
+        self, *, after_revision: int, wait_ms: float, timeout_ms: float
+    ) -> Snapshot:
         """Return what changed after ``after_revision``, empty if nothing did in time.
 
-        Raises :class:`SourceReset` if the history is gone and :class:`SourceError`.
+        ``timeout_ms`` counts from the end of the wait. Raises :class:`SourceReset` if the history is gone and :class:`SourceError`.
         """
 
 
 class Follower:
     """Reads the whole picture once and then follows the changes."""
 
-    __slots__ = ("_catalog", "_failing_since_ms", "_on_event", "_source", "revision", "seen_ms")
+    __slots__ = (
+        "_catalog",
+        "_confirm_ms",
+        "_failing_since_ms",
+        "_on_event",
+        "_source",
+        "revision",
+        "seen_ms",
+    )
 
     def __init__(
         self, source: Source, catalog: Catalog, *, on_event: Callable[..., None]
@@ -59,6 +73,7 @@
         self._catalog = catalog
         self._on_event = on_event
         self._failing_since_ms: float | None = None
+        self._confirm_ms = CONFIRM_MS
         self.revision: int | None = None
         self.seen_ms = 0.0
 
@@ -76,12 +91,12 @@
 
     async def _step(self) -> None:
         if self.revision is None:
-            snapshot = await self._source.read_all()
+            snapshot = await self._source.read_all(timeout_ms=self._confirm_ms)
             self._note_success()
             self._catalog.replace(snapshot.changes, now_ms=now_ms())
         else:
             snapshot = await self._source.wait_for_changes(
-                after_revision=self.revision, wait_ms=WATCH_MS
+                after_revision=self.revision, wait_ms=WATCH_MS, timeout_ms=self._confirm_ms
             )
             self._note_success()
             self._catalog.apply(snapshot.changes, now_ms=now_ms())
@@ -91,6 +106,7 @@
 
     def _note_success(self) -> None:
         self.seen_ms = now_ms()
+        self._confirm_ms = max(CONFIRM_MS, self._confirm_ms / 2.0)
         if self._failing_since_ms is None:
             return
         outage_ms = self.seen_ms - self._failing_since_ms
@@ -100,6 +116,7 @@
         self._on_event("store regained", outage_ms=round(outage_ms))
 
     def _note_failure(self, error: SourceError) -> None:
+        self._confirm_ms = min(MAX_CONFIRM_MS, self._confirm_ms * 1.5)
         if self._failing_since_ms is None:
             self._failing_since_ms = now_ms()
             self._on_event("store lost", revision=self.revision, reason=str(error))
