Test the gateway, discovery, relay, adapter and log; pass a refused transfer on

Adds features for the request path to registered targets (fakes in one process), the catalog, the bounds that entries share, the readers and their subscribers, the adapter and the event log. A reader's place is left to another zone also when two entries of one zone try at the same moment (the relay feature failed with readers e0, e1 and e3, two of them in one zone).

A refusal proves that the request did not run, so it may now go to a second target. The property that forbade any second target said more than the promise; it now forbids a second target that may have run the request, and each target to see it twice.

--- a/src/kingcupusher/_proxy/exchange.py
+++ b/src/kingcupusher/_proxy/exchange.py
@@ -48,6 +48,7 @@
         "_caller",
         "_directory",
         "_is_handoff_tried",
+        "_is_refused",
         "_may_have_run",
         "_may_retry_freely",
         "_must_wait",
@@ -75,6 +76,7 @@
         self._attempt: Attempt | None = None
         self._attempts = 0
         self._is_handoff_tried = False
+        self._is_refused = False
         self._may_have_run = False
         self._may_retry_freely = True
         self._must_wait = False
@@ -176,14 +178,16 @@
                 self._mark_tried(place)
             self._must_wait = True
             return NO_TARGET
-        except (ConnectError, NotSentError, RefusedError):
+        except (ConnectError, NotSentError, RefusedError) as error:
             self._mark_tried(place)
             self._may_retry_freely = not attempt.is_written
+            self._is_refused = isinstance(error, RefusedError)
             self._attempt = None
         except ExchangeError as error:
             is_stale = attempt.is_stale and isinstance(error, ResetError)
             self._mark_tried(place, is_again_allowed=is_stale)
             self._may_retry_freely = False
+            self._is_refused = False
             self._may_have_run = True
             if attempt.stream_error is not None:
                 return OutcomeResponse(
@@ -202,13 +206,15 @@
     def _may_try_again(self) -> bool:
         """Return whether another attempt is allowed after one that failed.
 
-        Without a write there is nothing to repeat, so only the number of attempts is bounded.
+        Without a write there is nothing to repeat, so only the number of attempts is bounded. A
+        target that refused has not run the request, so that another may get any request.
         """
         if self._attempts >= MAX_ATTEMPTS or self._is_head_forwarded():
             return False
         if self._may_retry_freely:
             return True
-        if not self._request.is_idempotent or not self._body.is_whole:
+        may_repeat = self._request.is_idempotent or (self._is_refused and not self._may_have_run)
+        if not may_repeat or not self._body.is_whole:
             return False
         budget = self._directory.retry_budget(self._request.service)
         return budget.try_spend(now_ms=now_ms())
--- a/src/kingcupusher/_relay/places.py
+++ b/src/kingcupusher/_relay/places.py
@@ -30,7 +30,7 @@
 class PlaceStore(Protocol):
     """Where the places are kept."""
 
-    async def taken_places(self) -> set[int]:
+    async def taken_places(self) -> list[ReaderSeen]:
         """Return the places that are taken, from a read that may be old."""
 
     async def take_place(self, reader: ReaderSeen, *, ttl_ms: float) -> int | None:
@@ -101,9 +101,10 @@
         elif (own := self._own_place()) is not None:
             await self._adopt(own)
         elif self._catalog.is_complete and self._vacant() is not None:
-            await curio.sleep(self._rng.random() * SPREAD_S + self._zone_delay_s())
+            zone_delay_s = self._zone_delay_s()
+            await curio.sleep(self._rng.random() * SPREAD_S + zone_delay_s)
             if self._vacant() is not None:
-                await self._take()
+                await self._take(has_waited=zone_delay_s > 0.0)
 
     def _own_place(self) -> ReaderSeen | None:
         readers = self._catalog.readers.values()
@@ -125,10 +126,13 @@
         zones = {reader.zone for reader in self._catalog.readers.values()}
         return OTHER_ZONE_S if self._zone in zones else 0.0
 
-    async def _take(self) -> None:
+    async def _take(self, *, has_waited: bool) -> None:
+        """Take a place, unless the own zone has got a reader meanwhile."""
         taken = await self._store.taken_places()
-        free = [i for i in range(PLACE_COUNT) if i not in taken]
-        if not free:
+        slots = {reader.slot for reader in taken}
+        free = [i for i in range(PLACE_COUNT) if i not in slots]
+        has_reader = self._zone in {reader.zone for reader in taken}
+        if not free or (has_reader and not has_waited):
             return
         place = ReaderSeen(free[0], self._entry, self._zone, self._address)
         lease = await self._store.take_place(place, ttl_ms=TTL_MS)
--- a/testing/features/proxy.feature
+++ b/testing/features/proxy.feature
@@ -21,6 +21,8 @@
       | cut,well     | a lookup             | 200    | none    | 2      | Reset,Response   |
       | cut,well     | a transfer           | 502    | unknown | 1      | Reset            |
       | refusing,well| a lookup             | 200    | none    | 2      | Refusal,Response |
+      | refusing,well| a transfer           | 200    | none    | 2      | Refusal,Response |
+      | refusing,cut | a transfer           | 502    | unknown | 2      | Refusal,Reset    |
       | cut,refusing | a lookup             | 502    | unknown | 2      | Reset,Refusal    |
       | cut,well     | a long lookup        | 502    | unknown | 1      | Reset            |
       | well         | a long lookup        | 200    | none    | 1      | Response         |
--- a/testing/features/proxy_properties.feature
+++ b/testing/features/proxy_properties.feature
@@ -6,8 +6,8 @@
   Scenario: Requests arrive as they were sent
     Then generated pipelined requests reach the target unchanged and in order
 
-  Scenario: A non-idempotent request is written at most once
-    Then no generated failure makes a non-idempotent request reach a second target
+  Scenario: A non-idempotent request is written at most once to a target that may run it
+    Then no generated failure makes a non-idempotent request reach a target after one may have run it
 
   Scenario: Not-run is said only when it is certain
     Then no request that a target accepted is reported as not run
--- /dev/null
+++ b/testing/features/relay.feature
@@ -0,0 +1,46 @@
+Feature: A few readers follow the store for all entries
+
+  Scenario: Three entries in different zones become readers and the others save their calls
+    Given 6 entries in 3 zones that follow a store
+    Then 3 readers are found, one in each zone
+    And the store gets at most 12 calls in the next 2 s
+    And all entries know all 6 entries
+    And all of this holds when it is played
+
+  Scenario Outline: A change reaches every entry in time although <trouble>
+    Given 6 entries in 3 zones that follow a store
+    When trouble comes: <trouble>
+    And a zone is taken out
+    Then every living entry that reaches the store or a reader knows it within 2 s
+    And all of this holds when it is played
+
+    Examples:
+      | trouble                                   |
+      | nothing happens                           |
+      | all readers are killed                    |
+      | all readers lose the store                |
+      | the store falls silent for all readers    |
+      | all but the readers lose the store        |
+      | the store forgets its history             |
+
+  Scenario: A reader's place that becomes vacant is taken by another entry
+    Given 6 entries in 3 zones that follow a store
+    When a reader is killed and its place becomes vacant
+    Then 3 readers are found, one in each zone
+    And all of this holds when it is played
+
+  Scenario: A reader that restarts goes on with its place
+    Given 6 entries in 3 zones that follow a store
+    When a reader is killed and starts again
+    Then the same entry is a reader without a new write
+    And all of this holds when it is played
+
+  Scenario Outline: A message that cannot be read ends the link and nothing else
+    Then <message> raises an error that says so
+
+    Examples:
+      | message         |
+      | no bytes        |
+      | bytes of zero   |
+      | an unknown kind |
+      | a short list    |
--- /dev/null
+++ b/testing/features/steps/discovery_steps.py
@@ -0,0 +1,197 @@
+"""Steps for the catalog."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from behave import given, then, when
+from hypothesis import strategies as st
+
+from kingcupusher._core.address import Address
+from kingcupusher._discovery import (
+    Catalog,
+    Route,
+    RoutesPublished,
+    RouteTable,
+    SplitPart,
+    StoreReturned,
+    TargetGone,
+    TargetRecord,
+    TargetSeen,
+    ZoneReturned,
+    ZoneTakenOut,
+)
+from kingcupusher._discovery.splits import WeightedTurn
+from testing.gateway.world import routes
+from testing.properties import check_property
+
+PREFIXES = st.lists(st.sampled_from("ab"), max_size=4).map(
+    lambda parts: "/" + "".join(f"{part}/" for part in parts)
+)
+
+
+def target_record(*, target_id="t0", zone="a", is_draining=False, born_unix_ms=5):
+    """Return a registration."""
+    return TargetRecord(
+        target_id=target_id,
+        service="s",
+        address=Address("127.0.0.1", 1),
+        zone=zone,
+        slots=3,
+        is_draining=is_draining,
+        cold_left_ms=0.0,
+        born_unix_ms=born_unix_ms,
+    )
+
+
+@then("for every order of publications the highest version is in force")
+def versions_grow(context):
+    def prop(versions):
+        catalog = Catalog()
+        for seen, version in enumerate(versions, start=1):
+            catalog.apply([RoutesPublished(routes(version=version))], now_ms=0.0)
+            assert catalog.table.version == max(versions[:seen])
+
+    check_property(context, prop, versions=st.lists(st.integers(1, 9), min_size=1, max_size=8))
+
+
+@then("for every set of prefixes the route with the longest one that fits is chosen")
+def longest_prefix(context):
+    def prop(prefixes, path):
+        table = routes()
+        model = table.routes[0]
+        changed = tuple(_route(model, prefix) for prefix in sorted(prefixes))
+        catalog = Catalog()
+        catalog.apply([RoutesPublished(_with_routes(table, changed))], now_ms=0.0)
+        found = catalog.route_for(b"h.example", path.encode())
+        fitting = [prefix for prefix in prefixes if path.startswith(prefix)]
+        expected = max(fitting, key=len, default=None)
+        assert (found.prefix.decode() if found else None) == expected
+
+    check_property(context, prop, prefixes=st.sets(PREFIXES, max_size=6), path=PREFIXES)
+
+
+def _route(model, prefix):
+    fields = {name: getattr(model, name) for name in model.__struct_fields__}
+    return Route(**fields | {"name": prefix, "prefix": prefix.encode()})
+
+
+def _with_routes(table, changed):
+    fields = {name: getattr(table, name) for name in table.__struct_fields__}
+    return RouteTable(**fields | {"routes": changed})
+
+
+@then("for every set of weights each service gets its share within one request")
+def weights(context):
+    def prop(parts, rounds):
+        turn = WeightedTurn([SplitPart(f"s{i}", weight) for i, weight in enumerate(parts)])
+        total = sum(parts)
+        counts = Counter(turn.next_service() for _ in range(rounds))
+        for index, weight in enumerate(parts):
+            share = rounds * weight / total
+            assert abs(counts[f"s{index}"] - share) <= len(parts)
+
+    weight = st.integers(1, 100)
+    check_property(
+        context, prop, parts=st.lists(weight, min_size=1, max_size=4), rounds=st.integers(0, 300)
+    )
+
+
+@given("a catalog with one target")
+def given_catalog(context):
+    context.catalog = Catalog()
+    context.catalog.apply([RoutesPublished(routes()), TargetSeen(target_record())], now_ms=0.0)
+    context.target = context.catalog.targets["t0"]
+
+
+NEWS = {
+    "that it drains": [TargetSeen(target_record(is_draining=True))],
+    "that it is gone": [TargetGone("t0")],
+    "that its zone was taken out": [ZoneTakenOut("a")],
+    "that its zone was taken out and back": [ZoneTakenOut("a"), ZoneReturned("a")],
+    "an older start under its id": [TargetSeen(target_record(born_unix_ms=4))],
+    "a restart under its id": [TargetSeen(target_record(born_unix_ms=6))],
+    "the same again": [TargetSeen(target_record())],
+}
+
+
+@when("news comes: {news}")
+def when_news(context, news):
+    context.catalog.apply(NEWS[news], now_ms=1.0)
+
+
+@when("a whole picture comes without the target and the zones")
+def when_whole(context):
+    context.catalog.replace([RoutesPublished(routes())], now_ms=1.0)
+
+
+@then("its state is {state}")
+def then_state(context, state):
+    usable = context.catalog.usable("s")
+    if state == "not usable":
+        assert usable == [] and not context.catalog.may_send(context.target)
+    elif state == "replaced":
+        assert len(usable) == 1 and usable[0] is not context.target
+        assert not context.catalog.may_send(context.target)
+    elif state == "usable":
+        assert usable == [context.target] and context.catalog.may_send(context.target)
+    else:
+        raise AssertionError(state)
+
+
+@when("the store returns, and says that the target is gone")
+def when_lapsed(context):
+    context.catalog.apply([StoreReturned(), TargetGone("t0")], now_ms=100.0)
+
+
+@then("it is usable for 2.2 s and dropped after that")
+def then_lapsed(context):
+    context.catalog.expire(now_ms=2_299.0)
+    assert context.catalog.usable("s") == [context.target]
+    context.catalog.expire(now_ms=2_301.0)
+    assert context.catalog.usable("s") == []
+
+
+@when("the store returns, says that the target is gone, and then that it is there")
+def when_back(context):
+    when_lapsed(context)
+    context.catalog.apply([TargetSeen(target_record())], now_ms=1_500.0)
+
+
+@then("it is still the same one after 10 s")
+def then_kept(context):
+    context.catalog.expire(now_ms=10_000.0)
+    assert context.catalog.usable("s") == [context.target]
+
+
+TARGETS = st.builds(
+    target_record,
+    target_id=st.sampled_from(["t0", "t1", "t2"]),
+    zone=st.sampled_from("ab"),
+    is_draining=st.booleans(),
+    born_unix_ms=st.integers(1, 3),
+)
+CHANGES = st.one_of(
+    st.builds(TargetSeen, TARGETS),
+    st.builds(TargetGone, st.sampled_from(["t0", "t1", "t2"])),
+    st.builds(ZoneTakenOut, st.sampled_from("ab")),
+    st.builds(ZoneReturned, st.sampled_from("ab")),
+    st.builds(lambda version: RoutesPublished(routes(version=version)), st.integers(1, 5)),
+)
+
+
+@then("for every set of news a catalog that gets the snapshot of another believes the same")
+def snapshot_is_whole(context):
+    def prop(news, older):
+        catalog, other = Catalog(), Catalog()
+        catalog.apply(news, now_ms=0.0)
+        other.apply(older, now_ms=0.0)
+        before = other.table.version if other.table else 0
+        other.replace(catalog.snapshot(), now_ms=0.0)
+        own = catalog.table.version if catalog.table else 0
+        assert (other.table.version if other.table else 0) == max(own, before)
+        assert other.zones_out == catalog.zones_out
+        assert sorted(other.targets) == sorted(catalog.targets)
+
+    news = st.lists(CHANGES, max_size=12)
+    check_property(context, prop, news=news, older=news)
--- /dev/null
+++ b/testing/features/steps/fleet_limits_steps.py
@@ -0,0 +1,143 @@
+"""Steps for bounds that all entries keep together."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+
+from behave import then
+from hypothesis import strategies as st
+
+from kingcupusher._discovery.roster import Roster
+from kingcupusher._limits.bucket import TokenBucket
+from kingcupusher._limits.cold import ColdWindow, share_of
+from kingcupusher._limits.repeats import RepeatBudget
+from kingcupusher._routing.acceptance import Patience
+from kingcupusher._routing.reading import LoadReading, expected_slowness
+from testing.properties import check_property
+
+GAPS_MS = st.one_of(st.just(0.0), st.floats(0.0, 50.0), st.floats(0.0, 3_000.0))
+
+
+def _count(times_ms, start_ms, end_ms):
+    return bisect_left(times_ms, end_ms) - bisect_left(times_ms, start_ms)
+
+
+@then("for every sequence of requests and repeats each window keeps the budget")
+def repeats_bounded(context):
+    def prop(events, ratio, slack):
+        budget = RepeatBudget(ratio=ratio, window_ms=10_000.0)
+        now_ms, requests_ms, repeats_ms = 0.0, [], []
+        for gap_ms, is_repeat in events:
+            now_ms += gap_ms
+            if not is_repeat:
+                budget.on_request(now_ms=now_ms)
+                requests_ms.append(now_ms)
+            elif budget.try_spend(slack=slack, now_ms=now_ms):
+                repeats_ms.append(now_ms)
+                start_ms = now_ms - 10_000.0
+                spent = sum(time_ms > start_ms for time_ms in repeats_ms)
+                earned = ratio * sum(time_ms > start_ms for time_ms in requests_ms)
+                assert spent <= earned + slack
+
+    check_property(
+        context,
+        prop,
+        events=st.lists(st.tuples(GAPS_MS, st.booleans()), max_size=60),
+        ratio=st.floats(0.0, 0.5),
+        slack=st.floats(0.0, 5.0),
+    )
+
+
+@then("for 3 to 300 entries the shares of a cold target add up to what it bears")
+def shares_add_up(context):
+    def prop(count, total, target_id):
+        names = [f"e{i}" for i in range(count)]
+        shares = [share_of(total, entry=name, entries=names, target_id=target_id) for name in names]
+        assert sum(shares) == total
+
+    check_property(
+        context,
+        prop,
+        examples=30,
+        count=st.integers(3, 300),
+        total=st.integers(0, 40),
+        target_id=st.text(max_size=8),
+    )
+
+
+@then("no window of an entry holds more than its share")
+def cold_window(context):
+    def prop(gaps_ms, limit):
+        window = ColdWindow()
+        now_ms, sent_ms = 0.0, []
+        for gap_ms in gaps_ms:
+            now_ms += gap_ms
+            if window.try_send(limit=limit, now_ms=now_ms):
+                sent_ms.append(now_ms)
+        for start_ms in sent_ms:
+            assert _count(sent_ms, start_ms, start_ms + 1_000.0) <= limit
+
+    check_property(context, prop, gaps_ms=st.lists(GAPS_MS, max_size=60), limit=st.integers(0, 5))
+
+
+@then("for every sequence of questions each window keeps the rate and the burst")
+def bucket_rate(context):
+    def prop(gaps_ms, per_s, burst):
+        bucket = TokenBucket(per_s=per_s, burst=burst, now_ms=0.0)
+        now_ms, taken_ms = 0.0, []
+        for gap_ms in gaps_ms:
+            now_ms += gap_ms
+            if bucket.try_take(now_ms=now_ms):
+                taken_ms.append(now_ms)
+        for first, start_ms in enumerate(taken_ms):
+            for last, end_ms in enumerate(taken_ms[first:], start=first):
+                assert last - first + 1 <= burst + per_s * (end_ms - start_ms) / 1000.0 + 1e-6
+
+    check_property(
+        context,
+        prop,
+        gaps_ms=st.lists(GAPS_MS, max_size=40),
+        per_s=st.floats(0.1, 50.0),
+        burst=st.floats(1.0, 20.0),
+    )
+
+
+@then("an entry is counted for 30 s after it was last heard of, and 32 before any is known")
+def roster_memory(context):
+    roster = Roster()
+    assert roster.size(now_ms=0.0) == 32
+    roster.note(["e1", "e2"], now_ms=0.0)
+    roster.note(["e2"], now_ms=20_000.0)
+    assert roster.names(now_ms=29_999.0) == ["e1", "e2"]
+    assert roster.names(now_ms=30_001.0) == ["e2"]
+    assert roster.size(now_ms=50_001.0) == 32
+
+
+def _reading(running, waiting, slowness_percent):
+    return LoadReading(
+        running=running,
+        waiting=waiting,
+        slots=3,
+        slowness_percent=slowness_percent,
+        cold_left_ms=0.0,
+        is_healthy=True,
+        read_ms=0.0,
+    )
+
+
+@then("a free and usual target comes before a crowded one, and that before a slow one")
+def slowness_order(context):
+    readings = [_reading(1, 0, 100), _reading(2, 0, 100), _reading(0, 0, 400), _reading(3, 9, 400)]
+    costs = [expected_slowness(reading) for reading in readings]
+    assert costs == sorted(costs) and len(set(costs)) == len(costs), costs
+
+
+@then("a request waits for a good place, takes a fair one at the end and no worse one")
+def patience(context):
+    waiting = Patience(received_ms=0.0, now_ms=0.0, objective_ms=200.0, deadline_ms=1_000.0)
+    table = [(1.0, False, True), (1.7, False, False), (1.7, True, True), (4.0, True, False)]
+    for cost, is_last, expected in table:
+        assert waiting.accepts(cost, is_last=is_last) is expected, (cost, is_last)
+    assert waiting.hold_end_ms < 1_000.0
+    assert waiting.is_in_time(work_ms=80.0, now_ms=119.0)
+    assert not waiting.is_in_time(work_ms=80.0, now_ms=121.0)
--- a/testing/features/steps/registration_steps.py
+++ b/testing/features/steps/registration_steps.py
@@ -10,10 +10,10 @@
 from behave import given, then, when
 
 from kingcupusher._core import now_ms
+from kingcupusher._core.stop import StopRequest
 from kingcupusher._entry.assignment import assign_groups
 from kingcupusher._entry.members import GroupKey, Holder, Member, encode, member_key
 from kingcupusher._entry.registration import Registration, Seat, keep_registered
-from kingcupusher._core.stop import StopRequest
 from kingcupusher._limits import ColdStartRamp, ProbeBudget
 from kingcupusher._membership import GROUPS, Membership
 from kingcupusher._platform import Lease, LeaseLostError, VersionedValue
--- /dev/null
+++ b/testing/features/steps/users_platform_steps.py
@@ -0,0 +1,242 @@
+"""Steps for the adapter to the users' platform."""
+
+from __future__ import annotations
+
+import copy
+import json
+
+from behave import given, then, when
+
+from kingcupusher._discovery import ReaderSeen, TargetSeen
+from kingcupusher._gateway import Verdict
+from kingcupusher._http.heads import RequestHead
+from kingcupusher._http.whole import WholeResponse
+from kingcupusher_platform.headers import PlatformDialect
+from kingcupusher_platform.records import (
+    decode_removed,
+    decode_routes,
+    decode_target,
+    decode_written,
+)
+from kingcupusher_platform.settings import SettingsFileError, parse_settings
+
+SETTINGS = {
+    "nodeName": "frontend-a-1",
+    "zone": "a",
+    "ipAddress": "10.1.0.34",
+    "internalPortRange": [7540, 7555],
+    "contractParams": [
+        "gracePeriodS=6",
+        "retryBudgetRatio=0.2",
+        "budgetWindowS=10",
+        "retryBudgetSlack=58",
+        "probesPerS=60",
+        "coldStartOvershoot=1.5",
+    ],
+    "listenAddresses": {"frontend": "10.1.0.34:8548", "readiness": "10.1.0.34:8542"},
+    "limits": {"fileDescriptors": 4100},
+    "platform": {"address": "10.200.1.7:8541"},
+}
+VALUES = {"missing": None, "a number": 5, "not an address": "somewhere"}
+CONFIG = {
+    "version": "r12",
+    "routes": {
+        "one": {
+            "host": "H.example",
+            "prefix": "/a/",
+            "kind": "idempotent",
+            "timeoutS": 1,
+            "targetLatencyS": 0.4,
+            "priority": 2,
+            "maxAttempts": 2,
+            "trafficSplit": [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}],
+        },
+        "two": {
+            "host": "h.example",
+            "prefix": "/b/",
+            "kind": "non_idempotent",
+            "timeoutS": 1.2,
+            "service": "s",
+        },
+    },
+    "services": {
+        "s": {"healthPath": "/health", "maxConnections": 220, "coldStartS": 3, "coldPerS": 4.2},
+        "t": {"healthPath": "/health", "maxConnections": 220, "coldStartS": 3, "coldPerS": 4.2},
+    },
+    "limits": {"maxHeaderBytes": 16384, "idleTimeoutS": 15},
+}
+ENTRY = {
+    "address": "10.128.0.9:8080",
+    "born": 1_700_000_000_000,
+    "info": {"service": "s", "version": "v1", "zone": "a", "slots": 3},
+    "status": {"state": "draining", "sequence": 4, "coldLeftS": 1.5},
+}
+
+
+def _ignore(*_args, **_fields):
+    """Take a problem that the step does not look at."""
+
+
+@given("the settings of an entry on the users' platform")
+def given_settings(context):
+    context.settings = copy.deepcopy(SETTINGS)
+
+
+@when("a field that nobody knows is added")
+def when_unknown(context):
+    context.settings["futureField"] = {"x": 1}
+
+
+@when("its setting {field} is {value}")
+def when_field(context, field, value):
+    table, _, name = field.rpartition(".")
+    fields = context.settings[table] if table else context.settings
+    chosen = json.loads(value) if value.startswith("[") else VALUES[value]
+    if chosen is None:
+        del fields[name]
+    else:
+        fields[name] = chosen
+
+
+@then("reading the settings fails and names {named}")
+def then_fails(context, named):
+    try:
+        parse_settings(context.settings)
+    except SettingsFileError as error:
+        assert named in str(error), error
+    else:
+        raise AssertionError("the settings were accepted")
+
+
+@then("the settings hold the bounds of the fleet in milliseconds")
+def then_settings(context):
+    settings = parse_settings(context.settings)
+    rules = settings.gateway.rules
+    assert (rules.grace_ms, rules.retry_window_ms) == (6_000.0, 10_000.0)
+    assert (rules.retry_slack, rules.probes_per_s, rules.cold_overshoot) == (58.0, 60.0, 1.5)
+    assert str(settings.store_address) == "10.200.1.7:8541"
+    assert settings.gateway.relay_address != settings.gateway.metrics_address
+
+
+@then("the example configuration has its version, routes, weights and times")
+def then_config(context):
+    del context
+    table = decode_routes(json.dumps(CONFIG).encode(), on_problem=_ignore)
+    one, two = table.routes
+    assert table.version == 12
+    assert (one.host, one.prefix, one.timeout_ms, one.objective_ms) == (
+        b"h.example",
+        b"/a/",
+        1_000.0,
+        400.0,
+    )
+    assert one.is_idempotent and not two.is_idempotent
+    assert [(part.service, part.weight) for part in one.parts] == [("s", 90.0), ("t", 10.0)]
+    assert two.objective_ms == two.timeout_ms == 1_200.0 and two.max_targets == 1
+    assert table.services["s"].cold_requests_per_s == 4.2
+    assert table.limits.idle_timeout_ms == 15_000.0
+
+
+def _entry(**changes):
+    return json.dumps(ENTRY | changes).encode()
+
+
+FAULTS = {
+    "a target without address": ("servers/i-1", _entry(address=None)),
+    "a target of unknown state": ("servers/i-1", _entry(status={"state": "resting"})),
+    "a target whose info is text": ("servers/i-1", _entry(info="none")),
+    "a target of broken JSON": ("servers/i-1", b'{"address": "10.'),
+    "a configuration of no version": ("op/config", json.dumps({"routes": {}}).encode()),
+    "a reader without address": ("kingcupusher/readers/0", b'{"entry": "e1"}'),
+}
+
+
+@when("an item with {fault} is read")
+def when_fault(context, fault):
+    context.problems = []
+    context.key, value = FAULTS[fault]
+
+    def note(event, **fields):
+        context.problems.append((event, fields))
+
+    context.change = decode_written(context.key, value, lease=0, on_problem=note)
+
+
+@then("it says nothing, and the problem is logged with its key")
+def then_nothing(context):
+    assert context.change is None
+    assert [fields["key"] for _, fields in context.problems] == [context.key]
+
+
+@then("of a configuration with one broken route and one broken service the rest is read")
+def then_rest(context):
+    del context
+    problems = []
+    config = copy.deepcopy(CONFIG)
+    config["routes"]["one"]["prefix"] = "no-slash"
+    config["services"]["t"] = {"healthPath": 5}
+
+    def note(event, **fields):
+        problems.append(fields["name"])
+
+    table = decode_routes(json.dumps(config).encode(), on_problem=note)
+    assert [route.name for route in table.routes] == ["two"] and list(table.services) == ["s"]
+    assert sorted(problems) == ["one", "t"]
+
+
+@then("the example registration has its service, zone, address, state and start")
+def then_registration(context):
+    del context
+    record = decode_target("i-1", _entry())
+    assert (record.service, record.zone, str(record.address)) == ("s", "a", "10.128.0.9:8080")
+    assert record.is_draining and record.cold_left_ms == 1_500.0
+    assert record.born_unix_ms == 1_700_000_000_000
+    written = decode_written("servers/i-1", _entry(), lease=0, on_problem=_ignore)
+    assert isinstance(written, TargetSeen)
+    reader = b'{"entry": "e1", "zone": "a", "address": "10.1.0.1:7541"}'
+    place = decode_written("kingcupusher/readers/2", reader, lease=9, on_problem=_ignore)
+    assert isinstance(place, ReaderSeen) and (place.slot, place.lease) == (2, 9)
+    assert decode_removed("status/anything") is None
+
+
+HEADERS = {
+    "nothing": None,
+    "signature": (b"x-kingcupusher-server-signature", b"3e1b"),
+    "encoding": (b"content-encoding", b"gzip"),
+    "not run": (b"x-kingcupusher-not-executed", b"1"),
+}
+
+
+@then("a response with {status:d} and {headers} is a {verdict}")
+def then_verdict(context, status, headers, verdict):
+    del context
+    rows = [HEADERS[name] for name in headers.split(",") if HEADERS[name]]
+    response = WholeResponse(status, b"", rows, b"")
+    assert PlatformDialect().verdict(response) is Verdict[verdict]
+
+
+@then("a forged target and deadline are replaced, and headers named by Connection are dropped")
+def then_headers(context):
+    del context
+    head = RequestHead(
+        b"GET",
+        b"/a/",
+        b"1.1",
+        [
+            (b"host", b"h"),
+            (b"connection", b"close, x-private"),
+            (b"x-private", b"1"),
+            (b"x-other", b"2"),
+            (b"x-kingcupusher-expected-instance", b"i-forged"),
+            (b"x-kingcupusher-request-deadline", b"999999"),
+            (b"x-kingcupusher-attempt-id", b"abc"),
+        ],
+    )
+    headers = PlatformDialect().request_headers(head, target_id="i-1", remaining_ms=120)
+    assert headers == [
+        (b"host", b"h"),
+        (b"x-other", b"2"),
+        (b"x-kingcupusher-attempt-id", b"abc"),
+        (b"x-kingcupusher-request-deadline", b"120"),
+        (b"x-kingcupusher-expected-instance", b"i-1"),
+    ]
--- /dev/null
+++ b/testing/gateway/dialect.py
@@ -0,0 +1,66 @@
+"""A dialect with plain header names, so that tests of the product need no platform."""
+
+from __future__ import annotations
+
+from kingcupusher._gateway import TargetAnswer, Verdict
+from kingcupusher._routing.reading import LoadReading
+
+OWN = frozenset({b"connection", b"content-length", b"transfer-encoding", b"x-timeout-ms"})
+
+
+class PlainDialect:
+    """``x-id``, ``x-timeout-ms``, ``x-target``, ``x-signed``, ``x-not-run`` and ``x-load``."""
+
+    def request_id(self, head):
+        """Return ``x-id``."""
+        return dict(head.headers).get(b"x-id", b"")
+
+    def time_left_ms(self, head):
+        """Return ``x-timeout-ms``."""
+        value = dict(head.headers).get(b"x-timeout-ms")
+        return None if value is None else float(value)
+
+    def request_headers(self, head, *, target_id, remaining_ms):
+        """Return the headers for the target."""
+        headers = [header for header in head.headers if header[0] not in OWN]
+        headers.append((b"x-timeout-ms", b"%d" % remaining_ms))
+        return [*headers, (b"x-target", target_id.encode())]
+
+    def belongs_to(self, response, request_id):
+        """Compare ``x-id``."""
+        return response.header(b"x-id") in (None, request_id)
+
+    def verdict(self, response):
+        """Read ``x-not-run``, ``x-signed`` and the status."""
+        if response.header(b"x-not-run") is not None:
+            return Verdict.NOT_RUN
+        if response.header(b"x-signed") is None:
+            return Verdict.INVALID
+        return Verdict.SUCCESS if response.status < 500 else Verdict.FAILURE
+
+    def response_headers(self, response):
+        """Return the headers for the caller."""
+        return [header for header in response.headers if header[0] not in OWN]
+
+    def refusal_headers(self, head, *, retry_after_ms):
+        """Return ``retry-after`` in seconds."""
+        return (
+            [] if retry_after_ms is None else [(b"retry-after", b"%.3f" % (retry_after_ms / 1e3))]
+        )
+
+    def target_answer(self, response, *, now_ms):
+        """Read ``x-load``: running, waiting, slowness, cold milliseconds."""
+        load = response.header(b"x-load")
+        if load is None:
+            return None
+        running, waiting, slowness, cold_left_ms = (int(part) for part in load.split(b","))
+        reading = LoadReading(
+            running=running,
+            waiting=waiting,
+            slots=3,
+            slowness_percent=slowness,
+            cold_left_ms=float(cold_left_ms),
+            is_healthy=response.status == 200,
+            read_ms=now_ms,
+        )
+        return TargetAnswer(response.header(b"x-target").decode(), reading)
--- /dev/null
+++ b/testing/gateway/fleet.py
@@ -0,0 +1,59 @@
+"""Several entries that follow one fake store, in one process."""
+
+from __future__ import annotations
+
+import socket
+from random import Random
+
+import curio
+
+from kingcupusher._core.address import Address
+from kingcupusher._discovery import Catalog, Follower
+from kingcupusher._relay import ReaderPlace, RelayServer, Subscriptions
+
+
+def free_address():
+    """Return a loopback address whose port is free now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return Address("127.0.0.1", sock.getsockname()[1])
+
+
+class Member:
+    """The discovery part of one entry."""
+
+    def __init__(self, name, zone, store, *, address):
+        self.name = name
+        self.events = []
+        self.catalog = Catalog()
+        client = store.client(name)
+        self.place = ReaderPlace(
+            client,
+            self.catalog,
+            entry=name,
+            zone=zone,
+            address=address,
+            rng=Random(name),
+            on_event=self._note,
+        )
+        self.follower = Follower(
+            client, self.catalog, is_reader=lambda: self.place.is_held, on_event=self._note
+        )
+        relay = RelayServer(address, self.follower, self.catalog, entry=name)
+        subscriptions = Subscriptions(
+            self.follower, self.catalog, entry=name, zone=zone, on_event=self._note
+        )
+        self._parts = (self.follower, self.place, relay, subscriptions)
+        self._tasks = []
+
+    def _note(self, event, **fields):
+        self.events.append((event, fields))
+
+    async def start(self):
+        """Start the tasks of the entry."""
+        self._tasks = [await curio.spawn(part.run, daemon=True) for part in self._parts]
+
+    async def stop(self):
+        """End the member without a word, as a kill does."""
+        for task in self._tasks:
+            await task.cancel()
--- /dev/null
+++ b/testing/gateway/world.py
@@ -0,0 +1,172 @@
+"""A gateway between a raw caller and fake targets, in one process."""
+
+from __future__ import annotations
+
+import os
+
+import curio
+import h11
+
+from kingcupusher._core import now_ms
+from kingcupusher._core.address import Address
+from kingcupusher._discovery import (
+    CallerLimits,
+    Catalog,
+    Route,
+    RoutesPublished,
+    RouteTable,
+    ServicePolicy,
+    SplitPart,
+    TargetRecord,
+    TargetSeen,
+)
+from kingcupusher._gateway import FleetRules, GatewaySettings
+from kingcupusher._gateway.exchange import Exchange
+from kingcupusher._gateway.state import Gateway
+from kingcupusher._http.pipeline import PipelineLimits, PipelineListener
+from kingcupusher._observe.events import EventLog
+from testing.gateway.dialect import PlainDialect
+from testing.gateway.targets import HEALTH_PATH, FakeTarget
+
+LOOPBACK = Address("127.0.0.1", 0)
+PREFIXES = {"lookup": b"/lookup/", "transfer": b"/transfer/"}
+
+
+def routes(*, version=1, timeout_ms=1_500.0, max_targets=3, names=("lookup", "transfer")):
+    """Return a table with an idempotent and a non-idempotent route to the service ``s``."""
+    table = tuple(
+        Route(
+            name=name,
+            host=b"h.example",
+            prefix=PREFIXES[name],
+            is_idempotent=name == "lookup",
+            timeout_ms=timeout_ms,
+            objective_ms=200.0,
+            priority=1,
+            max_targets=max_targets,
+            parts=(SplitPart("s", 1.0),),
+        )
+        for name in names
+    )
+    policy = ServicePolicy(
+        name="s",
+        health_path=HEALTH_PATH,
+        max_connections=100,
+        cold_start_ms=3_000.0,
+        cold_requests_per_s=4.0,
+    )
+    return RouteTable(version=version, routes=table, services={"s": policy}, limits=CallerLimits())
+
+
+def record(target, *, zone="a", is_draining=False, born_unix_ms=1, cold_left_ms=0.0):
+    """Return the registration of a fake target."""
+    return TargetRecord(
+        target_id=target.target_id,
+        service="s",
+        address=target.address,
+        zone=zone,
+        slots=3,
+        is_draining=is_draining,
+        cold_left_ms=cold_left_ms,
+        born_unix_ms=born_unix_ms,
+    )
+
+
+class World:
+    """Starts targets and a gateway; :meth:`call` sends one raw request."""
+
+    def __init__(self, behaviours, *, loads=(), table=None, rules=None):
+        self.targets = [
+            FakeTarget(f"t{i}", behaviour, load=loads[i] if loads else "0,0,100,0")
+            for i, behaviour in enumerate(behaviours)
+        ]
+        settings = GatewaySettings(
+            entry="e1",
+            zone="a",
+            caller_address=LOOPBACK,
+            readiness_address=LOOPBACK,
+            metrics_address=LOOPBACK,
+            relay_address=LOOPBACK,
+            rules=rules or FleetRules(retry_slack=320.0, probes_per_s=1_000_000.0),
+            connection_limit=20,
+        )
+        self.log_reader, log_writer = os.pipe()
+        self.catalog = Catalog()
+        log = EventLog(descriptor=log_writer)
+        self.gateway = Gateway(settings, self.catalog, PlainDialect(), log)
+        self.table = table or routes()
+        self.listener = None
+        self.limits = PipelineLimits()
+
+    async def __aenter__(self):
+        for target in self.targets:
+            await target.start()
+        changes = [TargetSeen(record(target)) for target in self.targets]
+        self.catalog.apply([RoutesPublished(self.table), *changes], now_ms=now_ms())
+        self.listener = PipelineListener(LOOPBACK, self._handle, limits=self.limits)
+        self._accepting = await curio.spawn(self.listener.run, daemon=True)
+        return self
+
+    async def __aexit__(self, *_):
+        await self._accepting.cancel()
+        await self.gateway.links.close()
+        for target in self.targets:
+            await target.stop()
+
+    async def _handle(self, caller):
+        await Exchange(caller, self.gateway).run()
+
+    async def connect(self):
+        """Open a connection to the gateway."""
+        return await curio.open_connection("127.0.0.1", self.listener.address.port)
+
+    async def call(self, name, request_id="r1", **options):
+        """Send one request on a new connection and return its status, headers and body."""
+        sock = await self.connect()
+        try:
+            await sock.sendall(request_bytes(name, request_id, **options))
+            (response,) = await read_responses(sock, 1)
+            return response
+        finally:
+            await sock.close()
+
+    def log_text(self):
+        """Return what was logged."""
+        self.gateway.log.flush()
+        return os.read(self.log_reader, 1_000_000).decode()
+
+
+def request_bytes(name, request_id="r1", *, timeout_ms=1_500, host="h.example"):
+    """Return the bytes of a request of the route ``name``."""
+    method, body = ("POST", b"amount") if name == "transfer" else ("GET", b"")
+    path = PREFIXES.get(name, b"/unknown/").decode()
+    head = f"{method} {path}x HTTP/1.1\r\nhost: {host}\r\nx-id: {request_id}\r\n"
+    head += f"x-timeout-ms: {timeout_ms}\r\ncontent-length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+async def read_responses(sock, count):
+    """Return ``count`` responses as (status, headers, body)."""
+    rest, responses = b"", []
+    while len(responses) < count:
+        parser = h11.Connection(h11.CLIENT)
+        parser.send(h11.Request(method="GET", target="/", headers=[("host", "h")]))
+        parser.send(h11.EndOfMessage())
+        if rest:
+            parser.receive_data(rest)
+        body = b""
+        while True:
+            event = parser.next_event()
+            if event is h11.NEED_DATA:
+                parser.receive_data(await sock.recv(65_536))
+            elif isinstance(event, h11.Response):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            else:
+                raise AssertionError(f"connection ended: {event!r}")
+        rest = parser.trailing_data[0]
+        responses.append((head.status_code, dict(head.headers), body))
+    return responses
