--- a/testing/features/fleet.feature
+++ b/testing/features/fleet.feature
@@ -9,7 +9,6 @@
     And at least 90 % of the requests are answered whole
     And every target got at least 10 requests
 
-  @known_red
   Scenario: A target that drains gets no new work and loses no request
     Given 2 entries and 3 open targets
     When 300 requests of 30 ms come at 60/s and a target drains after 1 s
