--- a/src/kingcupusher/_cli/main.py
+++ b/src/kingcupusher/_cli/main.py
@@ -10,6 +10,7 @@
 from kingcupusher._cli.exits import EXIT_CODES_HELP
 from kingcupusher._cli.publish import publish
 from kingcupusher._cli.status import status
+from kingcupusher._cli.trace import trace
 from kingcupusher._cli.zone_in import zone_in
 from kingcupusher._cli.zone_list import zone_list
 from kingcupusher._cli.zone_out import zone_out
@@ -19,6 +20,7 @@
 app.add_typer(zone)
 app.command("check")(check)
 app.command("entry")(entry)
+app.command("trace")(trace)
 app.command("status", epilog=EXIT_CODES_HELP)(status)
 app.command("publish", epilog=EXIT_CODES_HELP)(publish)
 zone.command("out", epilog=EXIT_CODES_HELP)(zone_out)
--- a/src/kingcupusher/_gateway/exchange.py
+++ b/src/kingcupusher/_gateway/exchange.py
@@ -25,6 +25,7 @@
 from kingcupusher._http.pipeline import CallerRequest
 from kingcupusher._http.timer import RequestTimer
 from kingcupusher._http.whole import WholeResponse
+from kingcupusher._observe.registry import labels
 from kingcupusher._routing.acceptance import Patience
 
 MAX_SENDS = 4
@@ -273,6 +274,10 @@
         )
 
     def _log_wait(self, answer: Answer | None, started_ms: float) -> None:
+        assert self._service is not None
+        is_placed = "yes" if answer else "no"
+        key = labels(service=self._service.name, placed=is_placed)
+        self._gateway.metrics.count("waits_total", key)
         self._gateway.log.request(
             "wait",
             id=self._request_id.decode("latin-1"),
@@ -281,8 +286,14 @@
         )
 
     def _log_send(self, result: SendResult) -> None:
+        assert self._service is not None
         attempt = result.attempt
         reading = attempt.answer.reading
+        elapsed_ms = attempt.ended_ms - attempt.sent_ms
+        metrics = self._gateway.metrics
+        service = self._service.name
+        metrics.count("sends_total", labels(service=service, outcome=result.outcome.value))
+        metrics.observe_ms("send_ms", labels(service=service), elapsed_ms)
         self._gateway.log.request(
             "send",
             id=self._request_id.decode("latin-1"),
@@ -290,7 +301,7 @@
             outcome=result.outcome.value,
             status=result.response.status if result.response else 0,
             reason=result.reason,
-            elapsed_ms=round(attempt.ended_ms - attempt.sent_ms, 1),
+            elapsed_ms=round(elapsed_ms, 1),
             reading_age_ms=round(attempt.sent_ms - reading.read_ms, 1),
             running=reading.running,
             waiting=reading.waiting,
@@ -300,6 +311,11 @@
 
     def _log_end(self, status: int, outcome: str) -> None:
         table = self._gateway.catalog.table
+        elapsed_ms = now_ms() - self._caller.received_ms
+        service = self._service.name if self._service else "none"
+        key = labels(service=service, status=str(status), cause=outcome)
+        self._gateway.metrics.count("requests_total", key)
+        self._gateway.metrics.observe_ms("request_ms", labels(service=service), elapsed_ms)
         self._gateway.log.request(
             "request",
             id=self._request_id.decode("latin-1"),
@@ -309,7 +325,7 @@
             status=status,
             outcome=outcome,
             sends=len(self._sends),
-            elapsed_ms=round(now_ms() - self._caller.received_ms, 1),
+            elapsed_ms=round(elapsed_ms, 1),
         )
 
 
--- a/src/kingcupusher/_gateway/process.py
+++ b/src/kingcupusher/_gateway/process.py
@@ -19,18 +19,24 @@
 from kingcupusher._http.pipeline import CallerRequest, PipelineLimits, PipelineListener
 from kingcupusher._http.service import Request, serve
 from kingcupusher._observe.events import EventLog
+from kingcupusher._observe.registry import Labels, labels
 from kingcupusher._relay import PlaceStore, ReaderPlace, RelayServer, Subscriptions
 
 TIDY_S = 0.5
 ROTATION_MS = 3_000.0
 """The balancer asks once a second and takes an entry out after two misses."""
 END_MARGIN_MS = 300.0
+METRICS_PATH = "/metrics"
 DRAIN_POLL_S = 0.02
 
 
 class PlatformStore(Source, PlaceStore, Protocol):
     """What an entry needs of the platform's store."""
 
+    @property
+    def call_count(self) -> int:
+        """Number of calls made so far."""
+
 
 Reload = Callable[[], GatewaySettings]
 
@@ -59,6 +65,7 @@
         "_place",
         "_relay",
         "_reload",
+        "_store",
         "_subscriptions",
     )
 
@@ -73,6 +80,7 @@
     ) -> None:
         catalog = Catalog()
         self._log = log
+        self._store = store
         self._reload = reload
         self._gateway = Gateway(settings, catalog, dialect, log)
         self._limits = PipelineLimits()
@@ -83,10 +91,10 @@
             zone=settings.zone,
             address=settings.relay_address,
             rng=Random(),
-            on_event=log.event,
+            on_event=self._note,
         )
         self._follower = Follower(
-            store, catalog, is_reader=lambda: self._place.is_held, on_event=log.event
+            store, catalog, is_reader=lambda: self._place.is_held, on_event=self._note
         )
         self._relay = RelayServer(
             settings.relay_address, self._follower, catalog, entry=settings.entry
@@ -96,7 +104,7 @@
             catalog,
             entry=settings.entry,
             zone=settings.zone,
-            on_event=log.event,
+            on_event=self._note,
         )
         self._listener: PipelineListener | None = None
         catalog.listeners.append(self._on_change)
@@ -121,6 +129,7 @@
             self._relay.run,
             self._subscriptions.run,
             self._serve_readiness,
+            self._serve_metrics,
             self._tidy,
             self._reload_when_asked,
         ):
@@ -151,6 +160,25 @@
     async def _serve_readiness(self) -> None:
         await serve(self._gateway.settings.readiness_address, self._answer_readiness)
 
+    async def _serve_metrics(self) -> None:
+        self._gateway.metrics.add_gauges(self._gauges)
+        await serve(self._gateway.settings.metrics_address, self._answer_metrics)
+
+    async def _answer_metrics(self, request: Request) -> Response:
+        if request.path != METRICS_PATH:
+            return Response(404, [], b"")
+        headers = [(b"content-type", b"text/plain; version=0.0.4; charset=utf-8")]
+        return Response(200, headers, self._gateway.metrics.render())
+
+    def _gauges(self) -> dict[tuple[str, Labels], float]:
+        current_ms = now_ms()
+        return self._gateway.gauges(now_ms=current_ms) | {
+            ("news_age_ms", ()): current_ms - self._follower.confirmed_ms,
+            ("is_reader", ()): float(self._place.is_held),
+            ("is_ready", ()): float(self.is_ready),
+            ("store_calls_total", ()): self._store.call_count,
+        }
+
     async def _answer_readiness(self, request: Request) -> Response:  # noqa: ARG002
         return Response(200 if self.is_ready else 503, [], b"")
 
@@ -176,4 +204,9 @@
             self._limits.max_body_bytes = limits.max_body_bytes
             self._limits.head_timeout_ms = limits.head_timeout_ms
             self._limits.idle_timeout_ms = limits.idle_timeout_ms
+        self._note(event, **fields)
+
+    def _note(self, event: str, **fields: object) -> None:
+        """Log and count a change of what this entry believes."""
+        self._gateway.metrics.count("events_total", labels(event=event))
         self._log.event(event, **fields)
--- a/src/kingcupusher/_gateway/state.py
+++ b/src/kingcupusher/_gateway/state.py
@@ -16,6 +16,7 @@
 from kingcupusher._gateway.survey import Surveyor
 from kingcupusher._limits.repeats import RepeatBudget
 from kingcupusher._observe.events import EventLog
+from kingcupusher._observe.registry import Labels, Metrics, labels
 from kingcupusher._routing.acceptance import WorkEstimate
 
 
@@ -44,6 +45,7 @@
         "is_stopping",
         "links",
         "log",
+        "metrics",
         "selector",
         "settings",
         "stop_by_ms",
@@ -57,6 +59,7 @@
         self.catalog = catalog
         self.dialect = dialect
         self.log = log
+        self.metrics = Metrics()
         self.links = Links(catalog, connection_limit=settings.connection_limit)
         self.surveyor = Surveyor(self.links, dialect)
         self.selector = Selector(
@@ -97,6 +100,26 @@
             work = self._work[route.name] = WorkEstimate(objective_ms=route.objective_ms)
         return work
 
+    def gauges(self, *, now_ms: float) -> dict[tuple[str, Labels], float]:
+        """Return the current values that the metrics show."""
+        catalog = self.catalog
+        values: dict[tuple[str, Labels], float] = {
+            ("routes_version", ()): catalog.table.version if catalog.table else 0,
+            ("zones_out", ()): len(catalog.zones_out),
+            ("entries", ()): len(catalog.roster.names(now_ms=now_ms)),
+            ("log_lines_dropped_total", ()): self.log.dropped,
+            ("questions_total", ()): self.surveyor.asked_count,
+        }
+        slack = self.repeat_slack(now_ms=now_ms)
+        for service in catalog.table.services if catalog.table else ():
+            usable = len(catalog.usable(service))
+            known = sum(t.record.service == service for t in catalog.targets.values())
+            values["targets", labels(service=service, usable="yes")] = usable
+            values["targets", labels(service=service, usable="no")] = known - usable
+            left = self.budget(service).left(slack=slack, now_ms=now_ms)
+            values["repeats_left", labels(service=service)] = left
+        return values
+
     def repeat_slack(self, *, now_ms: float) -> float:
         """Return this entry's part of the repeats that the fleet may send beside the ratio."""
         return self.settings.rules.retry_slack / self.catalog.roster.size(now_ms=now_ms)
