--- a/testing/features/steps/trace_command_steps.py
+++ b/testing/features/steps/trace_command_steps.py
@@ -57,7 +57,7 @@
 @then("its choice, send and end are printed in order, after the removal of its target")
 def then_lines(context):
     assert context.result.exit_code == 0, context.result.output
-    events = [line.split()[3].rstrip(":") for line in context.result.output.splitlines()]
+    events = [line[2:].split()[2].rstrip(":") for line in context.result.output.splitlines()]
     assert events == ["target", "choice", "send", "request"], context.result.output
 
 
