--- a/src/kingcupusher/_gateway/process.py
+++ b/src/kingcupusher/_gateway/process.py
@@ -104,6 +104,7 @@
             catalog,
             entry=settings.entry,
             zone=settings.zone,
+            seeds=settings.seeds,
             on_event=self._note,
         )
         self._listener: PipelineListener | None = None
--- a/src/kingcupusher/_gateway/state.py
+++ b/src/kingcupusher/_gateway/state.py
@@ -21,7 +21,10 @@
 
 
 class GatewaySettings(Struct, frozen=True, kw_only=True):
-    """Where an entry listens, who it is and which bounds it keeps."""
+    """Where an entry listens, who it is and which bounds it keeps.
+
+    ``seeds`` are relay addresses of other entries for a start without the store.
+    """
 
     entry: str
     zone: str
@@ -29,6 +32,7 @@
     readiness_address: Address
     metrics_address: Address
     relay_address: Address
+    seeds: tuple[Address, ...] = ()
     rules: FleetRules
     connection_limit: int
 
--- a/src/kingcupusher/_relay/subscriptions.py
+++ b/src/kingcupusher/_relay/subscriptions.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from hashlib import blake2b
 
 import curio
 
 from kingcupusher._core import now_ms
+from kingcupusher._core.address import Address
 from kingcupusher._discovery import Catalog, Follower, ReaderSeen, Update
 from kingcupusher._peers.connection import ByteCounters, Connection, PeerIdentity, dial
 from kingcupusher._peers.errors import HandshakeError, LinkClosedError, MessageError
@@ -28,12 +29,26 @@
 """A reader sends something every 0.9 s."""
 REDIAL_S = 0.5
 CHECK_S = 0.2
+NO_SLOT = -1
 
 
 class Subscriptions:
-    """Keeps links to readers: one in the own zone if there is one, and another."""
-
-    __slots__ = ("_catalog", "_entry", "_follower", "_links", "_on_event", "_zone", "counters")
+    """Keeps links to readers: one in the own zone if there is one, and another.
+
+    An entry that knows no reader yet, because the store does not answer, asks the entries at
+    ``seeds``, addresses that may be out of date.
+    """
+
+    __slots__ = (
+        "_catalog",
+        "_entry",
+        "_follower",
+        "_links",
+        "_on_event",
+        "_seeds",
+        "_zone",
+        "counters",
+    )
 
     def __init__(
         self,
@@ -42,12 +57,14 @@
         *,
         entry: str,
         zone: str,
+        seeds: Sequence[Address],
         on_event: Callable[..., None],
     ) -> None:
         self._follower = follower
         self._catalog = catalog
         self._entry = entry
         self._zone = zone
+        self._seeds = [ReaderSeen(NO_SLOT, f"seed {seed}", "", seed) for seed in seeds]
         self._on_event = on_event
         self._links: dict[ReaderSeen, curio.Task] = {}
         self.counters = ByteCounters()
@@ -64,7 +81,8 @@
             await curio.sleep(CHECK_S)
 
     def _wanted(self) -> list[ReaderSeen]:
-        others = [r for r in self._catalog.readers.values() if r.entry != self._entry]
+        known = self._catalog.readers.values() if self._catalog.is_complete else self._seeds
+        others = [reader for reader in known if reader.entry != self._entry]
         return sorted(others, key=self._preference)[:LINK_COUNT]
 
     def _preference(self, reader: ReaderSeen) -> tuple[bool, bytes]:
--- a/testing/features/relay.feature
+++ b/testing/features/relay.feature
@@ -35,6 +35,12 @@
     Then the same entry is a reader without a new write
     And all of this holds when it is played
 
+  Scenario: An entry that starts while the store is down learns from a seed what the others know
+    Given 6 entries in 3 zones that follow a store
+    When the store goes down and an entry starts with another as its seed
+    Then it knows the routes within 2 s
+    And all of this holds when it is played
+
   Scenario: A subscriber that knows more than a reader is not flooded
     Given 6 entries in 3 zones that follow a store
     When a subscriber knows a later revision than the reader
--- a/testing/features/steps/relay_steps.py
+++ b/testing/features/steps/relay_steps.py
@@ -191,6 +191,27 @@
     context.steps.append(check)
 
 
+@when("the store goes down and an entry starts with another as its seed")
+def when_seeded(context):
+    async def step(scene):
+        scene.store.down_for = {*scene.zones, "e9"}
+        seeds = (scene.addresses["e4"],)
+        scene.members["e9"] = Member("e9", "z0", scene.store, address=free_address(), seeds=seeds)
+        scene.living.add("e9")
+        await scene.members["e9"].start()
+
+    context.steps.append(step)
+
+
+@then("it knows the routes within 2 s")
+def then_seeded(context):
+    async def check(scene):
+        catalog = scene.members["e9"].catalog
+        assert await scene.wait_for(lambda: catalog.is_complete, within_ms=2_000.0)
+
+    context.steps.append(check)
+
+
 @when("a subscriber knows a later revision than the reader")
 def when_ahead(context):
     async def step(scene):
--- a/testing/features/steps/users_platform_steps.py
+++ b/testing/features/steps/users_platform_steps.py
@@ -33,7 +33,12 @@
         "probesPerS=60",
         "coldStartOvershoot=1.5",
     ],
-    "listenAddresses": {"frontend": "10.1.0.34:8548", "readiness": "10.1.0.34:8542"},
+    "listenAddresses": {
+        "frontend": "10.1.0.34:8548",
+        "readiness": "10.1.0.34:8542",
+        "controlPlane": "10.1.0.34:8544",
+    },
+    "seedNodes": ["10.1.0.34:8544", "10.2.0.34:8544"],
     "limits": {"fileDescriptors": 4100},
     "platform": {"address": "10.200.1.7:8541"},
 }
@@ -116,6 +121,7 @@
     assert (rules.retry_slack, rules.probes_per_s, rules.cold_overshoot) == (58.0, 60.0, 1.5)
     assert str(settings.store_address) == "10.200.1.7:8541"
     assert settings.gateway.relay_address != settings.gateway.metrics_address
+    assert [str(seed) for seed in settings.gateway.seeds] == ["10.2.0.34:8544"]
 
 
 @then("the example configuration has its version, routes, weights and times")
--- a/testing/features/users_platform.feature
+++ b/testing/features/users_platform.feature
@@ -12,6 +12,7 @@
       | listenAddresses           | missing    | listenAddresses           |
       | listenAddresses.frontend  | not an address | listenAddresses.frontend |
       | listenAddresses.readiness | missing    | listenAddresses.readiness |
+      | seedNodes                 | ["somewhere"] | seedNodes              |
       | platform.address          | not an address | platform.address      |
       | internalPortRange         | missing    | internalPortRange         |
       | contractParams            | ["gracePeriodS=soon"] | gracePeriodS   |
--- a/testing/gateway/fleet.py
+++ b/testing/gateway/fleet.py
@@ -22,7 +22,7 @@
 class Member:
     """The discovery part of one entry."""
 
-    def __init__(self, name, zone, store, *, address):
+    def __init__(self, name, zone, store, *, address, seeds=()):
         self.name = name
         self.events = []
         self.catalog = Catalog()
@@ -41,7 +41,12 @@
         )
         relay = RelayServer(address, self.follower, self.catalog, entry=name)
         subscriptions = Subscriptions(
-            self.follower, self.catalog, entry=name, zone=zone, on_event=self._note
+            self.follower,
+            self.catalog,
+            entry=name,
+            zone=zone,
+            seeds=seeds,
+            on_event=self._note,
         )
         self._parts = (self.follower, self.place, relay, subscriptions)
         self._tasks = []
--- a/testing/gateway/world.py
+++ b/testing/gateway/world.py
@@ -87,6 +87,7 @@
             readiness_address=LOOPBACK,
             metrics_address=LOOPBACK,
             relay_address=LOOPBACK,
+            seeds=(),
             rules=rules or FleetRules(retry_slack=320.0, probes_per_s=1_000_000.0),
             connection_limit=20,
         )
