--- a/testing/features/documentation.feature
+++ b/testing/features/documentation.feature
@@ -33,5 +33,5 @@
       | README.md             |
       | CONTRIBUTING.md       |
       | docs/configuration.md |
-      | docs/operations.md    |
+      | docs/OPERATIONS.md    |
       | docs/glossary.md      |
