--- a/src/kingcupusher/_discovery/catalog.py
+++ b/src/kingcupusher/_discovery/catalog.py
@@ -49,7 +49,6 @@
         "_by_host",
         "_grace_end_ms",
         "_turns",
-        "generation",
         "listeners",
         "readers",
         "roster",
@@ -62,7 +61,6 @@
         self.table: RouteTable | None = None
         self.targets: dict[str, Target] = {}
         self.zones_out: set[str] = set()
-        self.generation = 0
         self.listeners: list[Callable[[str, dict[str, object]], None]] = []
         self._by_host: dict[bytes, list[Route]] = {}
         self.readers: dict[int, ReaderSeen] = {}
@@ -76,7 +74,6 @@
         """Take over ``changes``, oldest first."""
         for change in changes:
             _HANDLERS.get(type(change).__name__)(self, change, now_ms)
-            self.generation += 1
 
     def replace(self, changes: Iterable[Change], *, now_ms: float) -> None:
         """Take over a whole picture: what it lacks is treated as removed."""
@@ -148,7 +145,6 @@
 
     def _drop(self, target_id: str, reason: str) -> None:
         if self.targets.pop(target_id, None) is not None:
-            self.generation += 1
             self._tell("target removed", target=target_id, reason=reason)
 
     def _tell(self, event: str, **fields: object) -> None:
--- a/src/kingcupusher/_gateway/rules.py
+++ b/src/kingcupusher/_gateway/rules.py
@@ -16,6 +16,5 @@
     retry_window_ms: float = 10_000.0
     retry_slack: float = 0.0
     cold_overshoot: float = 1.0
-    cold_slack: float = 0.0
     probes_per_s: float = 10.0
     grace_ms: float = 6_000.0
--- a/src/kingcupusher/_membership/member.py
+++ b/src/kingcupusher/_membership/member.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from math import inf
 
 from msgspec import Struct
 
@@ -183,19 +182,11 @@
             linked.due_ms = now_ms + HEARTBEAT_MS
             self._send_heartbeat(linked.identity, now_ms)
 
-    def next_due_ms(self) -> float:
-        """Return when the next heartbeat is due, so that the driver can sleep until then."""
-        return min((linked.due_ms for linked in self._linked.values()), default=inf)
-
     def take_outgoing(self) -> list[Outgoing]:
         """Return the messages to send, in order, and forget them."""
         outgoing, self._outgoing = self._outgoing, []
         return outgoing
 
-    def linked_seats(self) -> Collection[int]:
-        """Return the seats with an open link."""
-        return self._linked.keys()
-
     # -- details
 
     def _on_heartbeat(self, heartbeat: Heartbeat, now_ms: float) -> None:
--- a/src/kingcupusher/_proxy/errors.py
+++ b/src/kingcupusher/_proxy/errors.py
@@ -27,7 +27,3 @@
 
 class RefusedError(ProxyError):
     """Raised when a target said that it did not run the request."""
-
-
-class BrokenResponseError(ProxyError):
-    """Raised when a response ended early after its head had been forwarded."""
--- a/src/kingcupusher/_routing/acceptance.py
+++ b/src/kingcupusher/_routing/acceptance.py
@@ -5,9 +5,7 @@
 GOOD_COST = 1.35
 """A target at its usual speed that is not crowded; others make the request slower."""
 FAIR_COST = 2.2
-"""A target at its usual speed whose last slot is taken by the request."""
-PATIENT_SHARE = 0.25
-"""Share of the latency objective for which only a good place is taken."""
+"""A target at its usual speed whose last slot is taken; better than being refused."""
 HOLD_SHARE = 0.35
 """Share of the time that is left for which a request waits for a fair place."""
 WORK_SHARE = 0.4
@@ -18,12 +16,11 @@
 class Patience:
     """When one request takes which place. All times are on the clock of the process."""
 
-    __slots__ = ("hold_end_ms", "objective_end_ms", "patient_end_ms")
+    __slots__ = ("hold_end_ms", "objective_end_ms")
 
     def __init__(
         self, *, received_ms: float, now_ms: float, objective_ms: float, deadline_ms: float
     ) -> None:
-        self.patient_end_ms = received_ms + objective_ms * PATIENT_SHARE
         self.objective_end_ms = received_ms + objective_ms
         self.hold_end_ms = now_ms + max(0.0, deadline_ms - now_ms) * HOLD_SHARE
 
