--- a/src/kingcupusher/_gateway/attempt.py
+++ b/src/kingcupusher/_gateway/attempt.py
@@ -72,7 +72,6 @@
         link = self.answer.link
         connection = self.answer.connection
         is_whole = False
-        link.in_flight += 1
         self.sent_ms = now_ms()
         try:
             result = await self._exchange(connection, deadline_ms)
@@ -84,7 +83,6 @@
             link.on_failure(now_ms=now_ms())
             raise
         finally:
-            link.in_flight -= 1
             self.ended_ms = now_ms()
             await link.pool.release(connection, reusable=is_whole)
         if result.outcome is SendOutcome.SUCCESS:
--- a/src/kingcupusher/_gateway/links.py
+++ b/src/kingcupusher/_gateway/links.py
@@ -27,7 +27,6 @@
         "_noted_ms",
         "asks",
         "cold",
-        "in_flight",
         "pool",
         "suspended_ms",
         "target",
@@ -38,7 +37,6 @@
         self.pool = ConnectionPool(target.record.address, limit=limit, max_idle_ms=DEFAULT_IDLE_MS)
         self.cold = ColdWindow()
         self.asks = TokenBucket(per_s=0.0, burst=FIRST_ASKS, now_ms=0.0)
-        self.in_flight = 0
         self.suspended_ms = 0.0
         self._failures = 0.0
         self._noted_ms = 0.0
--- a/src/kingcupusher/_http/pipeline.py
+++ b/src/kingcupusher/_http/pipeline.py
@@ -117,7 +117,6 @@
         "deadline_ms",
         "is_gone",
         "stop_requested",
-        "task",
     )
 
     def __init__(
@@ -132,7 +131,6 @@
         self._is_closing = False
         self.is_gone = False
         self.stop_requested = False
-        self.task: curio.Task | None = None
         self.deadline_ms = now_ms() + limits.idle_timeout_ms
 
     @property
@@ -379,7 +377,6 @@
 
     async def _serve(self, sock: curio.io.Socket) -> None:
         connection = PipelinedConnection(sock, limits=self._limits, handler=self._handler)
-        connection.task = await curio.current_task()
         connection.stop_requested = self._stopping
         self._connections.add(connection)
         try:
--- a/src/kingcupusher/_http/whole.py
+++ b/src/kingcupusher/_http/whole.py
@@ -7,7 +7,7 @@
 
 from kingcupusher._http.client_connection import END, ClientConnection
 from kingcupusher._http.errors import ExchangeError
-from kingcupusher._http.heads import HeaderList, ResponseHead
+from kingcupusher._http.heads import HeaderList, ResponseHead, first_value
 
 MAX_RESPONSE_BYTES = 33_554_432
 
@@ -22,10 +22,7 @@
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of the header ``name``, or None."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
+        return first_value(self.headers, name)
 
 
 def encode_request(
