--- a/src/kingcupusher/_gateway/selector.py
+++ b/src/kingcupusher/_gateway/selector.py
@@ -18,11 +18,11 @@
 
 ASK_COUNT = 5
 """More than five questions gained nothing on quiet days (docs/decisions/asking.md)."""
-NEAR_COUNT = 10
+NEAR_COUNT = 6
 MAX_ROUNDS = 3
 MAX_WAITING = 3
 """A target with more waiting requests is about to refuse some."""
-SELECTION = "near_first"
+SELECTION = "zone_first"
 ASK_SHARE = 0.85
 """Part of the allowed questions that is used; entries that start anew begin with full buckets."""
 ASK_BURST_S = 4.0
@@ -47,10 +47,13 @@
 class _Candidate:
     """A target with what this entry knows of it at the moment of the choice."""
 
-    __slots__ = ("is_cold", "is_suspended", "target")
+    __slots__ = ("is_cold", "is_own_zone", "is_suspended", "target")
 
-    def __init__(self, target: Target, *, is_suspended: bool, is_cold: bool) -> None:
+    def __init__(
+        self, target: Target, *, is_own_zone: bool, is_suspended: bool, is_cold: bool
+    ) -> None:
         self.target = target
+        self.is_own_zone = is_own_zone
         self.is_suspended = is_suspended
         self.is_cold = is_cold
 
@@ -135,6 +138,7 @@
         candidates = [
             _Candidate(
                 target,
+                is_own_zone=target.record.zone == self._zone,
                 is_suspended=self._is_suspended(target),
                 is_cold=target.warm_ms > current_ms,
             )
--- a/src/kingcupusher/_routing/selection.py
+++ b/src/kingcupusher/_routing/selection.py
@@ -29,6 +29,10 @@
     def is_cold(self) -> bool:
         """Whether it is known to bear only few requests."""
 
+    @property
+    def is_own_zone(self) -> bool:
+        """Whether it is in the zone of the entry."""
+
 
 C = TypeVar("C", bound=Candidate)
 
@@ -47,6 +51,17 @@
     return hashlib.blake2b(f"{entry} {target_id}".encode(), digest_size=8).digest()
 
 
+def _by_affinity(candidates: Sequence[C], entry: str) -> list[C]:
+    return sorted(candidates, key=lambda c: _affinity(entry, c.target_id))
+
+
+def _shuffled(groups: Sequence[list[C]], rng: Random) -> list[C]:
+    """Return the candidates of all groups, one group after the other."""
+    for group in groups:
+        rng.shuffle(group)
+    return [candidate for group in groups for candidate in group]
+
+
 @ASK_SELECTIONS.register("near_first")
 class _NearFirst:
     """Targets in random order, but those that this entry knows closely before the others.
@@ -58,14 +73,29 @@
     @staticmethod
     def order(candidates: Sequence[C], *, entry: str, near: int, rng: Random) -> list[C]:
         """Return the candidates that neither failed lately nor are cold first."""
-        by_affinity = sorted(candidates, key=lambda c: _affinity(entry, c.target_id))
+        by_affinity = _by_affinity(candidates, entry)
+        good = [c for c in by_affinity if not c.is_suspended and not c.is_cold]
+        suspended = [c for c in by_affinity if c.is_suspended and not c.is_cold]
+        cold = [c for c in by_affinity if c.is_cold]
+        return _shuffled((good[:near], good[near:], suspended, cold), rng)
+
+
+@ASK_SELECTIONS.register("zone_first")
+class _ZoneFirst:
+    """As ``near_first``, but the near targets of the own zone come before those of other zones."""
+
+    @staticmethod
+    def order(candidates: Sequence[C], *, entry: str, near: int, rng: Random) -> list[C]:
+        """Return the candidates that neither failed lately nor are cold first."""
+        by_affinity = _by_affinity(candidates, entry)
         good = [c for c in by_affinity if not c.is_suspended and not c.is_cold]
-        close, far = good[:near], good[near:]
+        own = [c for c in good if c.is_own_zone]
+        other = [c for c in good if not c.is_own_zone]
         suspended = [c for c in by_affinity if c.is_suspended and not c.is_cold]
         cold = [c for c in by_affinity if c.is_cold]
-        for group in (close, far, suspended, cold):
-            rng.shuffle(group)
-        return close + far + suspended + cold
+        return _shuffled(
+            (own[:near], other[:near], own[near:] + other[near:], suspended, cold), rng
+        )
 
 
 def cost(reading: LoadReading, *, is_own_zone: bool) -> float:
