--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets for users: demo, test. For contributors: lint, format, bench, bench-quick, dist.
+# Targets for users: demo, test. For contributors: soak, lint, format, bench, bench-quick, dist.
 VENV ?= .venv
 PYTHON ?= python3
 BIN := $(VENV)/bin
@@ -6,7 +6,8 @@
 export PYTHONPATH := src:.:platform
 export PYTHONHASHSEED := 0
 
-.PHONY: demo test lint format bench bench-quick dist
+.PHONY: demo test soak lint format bench bench-quick dist
+SEEDS ?= 50
 
 $(VENV)/.installed: requirements/dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -19,6 +20,9 @@
 test: $(VENV)/.installed
 	$(BIN)/python -m testing
 
+soak: $(VENV)/.installed
+	$(BIN)/python -m testing.soak --seeds $(SEEDS) --keep soak-logs
+
 lint: $(VENV)/.installed
 	$(BIN)/black --quiet --check $(SOURCES)
 	$(BIN)/ruff check --quiet $(SOURCES)
--- /dev/null
+++ b/testing/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: entries, targets and a store as real processes, with faults from outside."""
