--- a/src/kingcupusher/_gateway/process.py
+++ b/src/kingcupusher/_gateway/process.py
@@ -16,7 +16,8 @@
 from kingcupusher._gateway.exchange import Exchange
 from kingcupusher._gateway.state import Gateway, GatewaySettings
 from kingcupusher._http.exchange import Response
-from kingcupusher._http.pipeline import CallerRequest, PipelineLimits, PipelineListener
+from kingcupusher._http.pipeline import CallerRequest, PipelineLimits
+from kingcupusher._http.pipeline_listener import PipelineListener
 from kingcupusher._http.service import Request, serve
 from kingcupusher._observe.events import EventLog
 from kingcupusher._observe.registry import Labels, labels
--- a/src/kingcupusher/_http/listener.py
+++ b/src/kingcupusher/_http/listener.py
@@ -2,20 +2,18 @@
 
 from __future__ import annotations
 
-import socket
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
 
 import curio
 
 from kingcupusher._core import now_ms
 from kingcupusher._core.address import Address
+from kingcupusher._http.acceptor import Acceptor
 from kingcupusher._http.server_connection import ServerConnection, ServerLimits
 
 BACKLOG = 512
 SWEEP_S = 0.25
 DRAIN_CHECK_S = 0.02
-ACCEPT_RETRY_S = 0.05
 
 ConnectionHandler = Callable[[ServerConnection], Awaitable[None]]
 
@@ -28,24 +26,19 @@
     """
 
     __slots__ = (
+        "_acceptor",
         "_connections",
         "_cut_ms",
         "_grace_end_ms",
         "_handler",
         "_limits",
-        "_sock",
         "_stopping",
-        "address",
     )
 
     def __init__(
         self, address: Address, handler: ConnectionHandler, *, limits: ServerLimits
     ) -> None:
-        family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-        self._sock = curio.tcp_server_socket(
-            address.host, address.port, family=family, backlog=BACKLOG
-        )
-        self.address = Address(address.host, self._sock.getsockname()[1])
+        self._acceptor = Acceptor(address, self._serve, backlog=BACKLOG)
         self._handler = handler
         self._limits = limits
         self._connections: set[ServerConnection] = set()
@@ -53,6 +46,11 @@
         self._grace_end_ms = 0.0
         self._cut_ms = 0.0
 
+    @property
+    def address(self) -> Address:
+        """Where it listens."""
+        return self._acceptor.address
+
     @property
     def connection_count(self) -> int:
         """Number of open caller connections."""
@@ -60,39 +58,17 @@
 
     async def run(self) -> None:
         """Accept and serve connections until :meth:`stop` has ended all of them."""
-        accepting = await curio.spawn(self._accept)
+        accepting = await curio.spawn(self._acceptor.run)
         sweeping = await curio.spawn(self._sweep)
         try:
             await self._stopping.wait()
             await accepting.cancel()
-            await self._accept_waiting()
-            await self._sock.close()
+            await self._acceptor.finish()
             await self._finish_connections()
         finally:
             await accepting.cancel()
             await sweeping.cancel()
-            await self._sock.close()
-
-    async def _accept(self) -> None:
-        while True:
-            try:
-                sock, _ = await self._sock.accept()
-            except OSError:
-                # A caller gave up, or no file descriptor is free; accepting must go on.
-                await curio.sleep(ACCEPT_RETRY_S)
-                continue
-            await self._start(sock)
-
-    async def _accept_waiting(self) -> None:
-        """Accept what the system already holds; closing the listener would reset it."""
-        with suppress(OSError):
-            while True:
-                sock, _ = self._sock._socket.accept()
-                await self._start(curio.io.Socket(sock))
-
-    async def _start(self, sock: curio.io.Socket) -> None:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        await curio.spawn(self._serve, sock, daemon=True)
+            await self._acceptor.close()
 
     async def _serve(self, sock: curio.io.Socket) -> None:
         task = await curio.current_task()
--- a/src/kingcupusher/_http/pipeline.py
+++ b/src/kingcupusher/_http/pipeline.py
@@ -13,17 +13,13 @@
 from msgspec import Struct
 
 from kingcupusher._core import now_ms
-from kingcupusher._core.address import Address
 from kingcupusher._http.errors import BadRequestError, CallerGoneError
 from kingcupusher._http.framing import request_fault
 from kingcupusher._http.heads import HeaderList, RequestHead, trusted_headers
 from kingcupusher._http.sending import send_all
 
 READ_BYTES = 16_384
-BACKLOG = 1_024
 MAX_PIPELINED = 16
-SWEEP_S = 0.1
-ACCEPT_RETRY_S = 0.05
 LINGER_MS = 500.0
 """A caller gets this long to close first; closing with unread input would reset its response."""
 WRITE_MS = 5_000.0
@@ -327,87 +323,3 @@
     if fault is not None:
         raise BadRequestError(400, fault)
     return request
-
-
-class PipelineListener:
-    """A listening socket with its open connections."""
-
-    __slots__ = ("_connections", "_handler", "_limits", "_sock", "_stopping", "address")
-
-    def __init__(
-        self, address: Address, handler: RequestHandler, *, limits: PipelineLimits
-    ) -> None:
-        family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-        self._sock = curio.tcp_server_socket(
-            address.host, address.port, family=family, backlog=BACKLOG
-        )
-        self.address = Address(address.host, self._sock.getsockname()[1])
-        self._handler = handler
-        self._limits = limits
-        self._connections: set[PipelinedConnection] = set()
-        self._stopping = False
-
-    @property
-    def connection_count(self) -> int:
-        """Number of open connections."""
-        return len(self._connections)
-
-    async def run(self) -> None:
-        """Accept connections until cancelled; the open ones are served on."""
-        sweeping = await curio.spawn(self._sweep, daemon=True)
-        try:
-            while True:
-                await self._accept()
-        finally:
-            await sweeping.cancel()
-
-    async def _accept(self) -> None:
-        try:
-            sock, _ = await self._sock.accept()
-        except OSError:
-            # The caller gave up, or no file descriptor is free; accepting must go on.
-            await curio.sleep(ACCEPT_RETRY_S)
-            return
-        await self._start(sock)
-
-    async def _start(self, sock: curio.io.Socket) -> None:
-        with suppress(OSError):
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        await curio.spawn(self._serve, sock, daemon=True)
-
-    async def _serve(self, sock: curio.io.Socket) -> None:
-        connection = PipelinedConnection(sock, limits=self._limits, handler=self._handler)
-        connection.stop_requested = self._stopping
-        self._connections.add(connection)
-        try:
-            await connection.run()
-        finally:
-            self._connections.discard(connection)
-            await sock.close()
-
-    def announce_stop(self) -> None:
-        """Let each last response on a connection say that the connection ends."""
-        self._stopping = True
-        for connection in self._connections:
-            connection.stop_requested = True
-
-    async def close(self) -> None:
-        """Accept what the system already holds, then stop listening and end idle connections."""
-        with suppress(OSError):
-            while True:
-                sock, _ = self._sock._socket.accept()
-                await self._start(curio.io.Socket(sock))
-        await self._sock.close()
-
-    async def close_idle(self) -> None:
-        """End the connections on which no request is being read or answered."""
-        for connection in [c for c in self._connections if c.is_idle]:
-            await connection.close()
-
-    async def _sweep(self) -> None:
-        while True:
-            await curio.sleep(SWEEP_S)
-            current_ms = now_ms()
-            for connection in list(self._connections):
-                if connection.deadline_ms <= current_ms:
-                    await connection.close()
--- a/testing/gateway/world.py
+++ b/testing/gateway/world.py
@@ -23,7 +23,8 @@
 from kingcupusher._gateway import FleetRules, GatewaySettings
 from kingcupusher._gateway.exchange import Exchange
 from kingcupusher._gateway.state import Gateway
-from kingcupusher._http.pipeline import PipelineLimits, PipelineListener
+from kingcupusher._http.pipeline import PipelineLimits
+from kingcupusher._http.pipeline_listener import PipelineListener
 from kingcupusher._observe.events import EventLog
 from testing.gateway.dialect import PlainDialect
 from testing.gateway.targets import HEALTH_PATH, FakeTarget
