End the caller's connection after a fault of the handler

Cause: a task that handles a request and ends with an unexpected error left its connection open, so the caller waited for its deadline. The scenario fails without the change.

--- a/src/kingcupusher/_gateway/attempt.py
+++ b/src/kingcupusher/_gateway/attempt.py
@@ -94,7 +94,8 @@
         self.answer.link.on_failure(now_ms=self.ended_ms)
 
     async def _exchange(self, connection: ClientConnection, deadline_ms: float) -> SendResult:
-        connection.start_next()
+        if connection.is_complete():
+            connection.start_next()
         await connection.send(self._encode(connection, deadline_ms))
         response = await read_response(connection)
         for _ in range(MAX_FOREIGN_RESPONSES):
--- a/src/kingcupusher/_http/pipeline.py
+++ b/src/kingcupusher/_http/pipeline.py
@@ -219,8 +219,10 @@
             await self._handler(request)
         except (CallerGoneError, OSError):
             self.is_gone = True
-        if not request.is_answered:
-            await self.close()
+        finally:
+            # Also after a fault of the handler: the caller must not wait for its deadline.
+            if not request.is_answered:
+                await self.close()
 
     async def wait_turn(self, request: CallerRequest) -> None:
         """Wait until ``request`` is the oldest that is not answered."""
--- a/testing/features/gateway.feature
+++ b/testing/features/gateway.feature
@@ -121,6 +121,12 @@
     When a caller sends it a lookup
     Then it gets status 503 with the time to come back, and no target ran it
 
+  Scenario: A fault of the entry itself ends the connection at once
+    Given a gateway before targets that behave as well
+    And reading responses fails with an unexpected error
+    When a caller sends it a transfer and waits for the end of the connection
+    Then the connection ended within 500 ms
+
   Scenario: The log leads from a request's id to its cause
     Given a gateway before targets that behave as cutting
     When a caller sends it a transfer
--- a/testing/features/steps/gateway_steps.py
+++ b/testing/features/steps/gateway_steps.py
@@ -85,6 +85,36 @@
     _start(context, targets.split(","), rules=rules)
 
 
+@given("reading responses fails with an unexpected error")
+def given_fault(context):
+    async def prepare(world):
+        def fail(_response):
+            raise ValueError("a fault of the entry")
+
+        world.gateway.dialect.verdict = fail
+
+    context.prepare.append(prepare)
+
+
+@when("a caller sends it a transfer and waits for the end of the connection")
+def when_waits_for_end(context):
+    async def action(world):
+        sock = await world.connect()
+        await sock.sendall(request_bytes("transfer"))
+        return await sock.recv(65_536)
+
+    started_ms = now_ms()
+    context.received = run(context, action)
+    context.elapsed_ms = now_ms() - started_ms
+
+
+@then("the connection ended within {bound_ms:d} ms")
+def then_ended(context, bound_ms):
+    # Guards against a caller that waits until its deadline after a fault of the entry.
+    assert context.received == b"", context.received
+    assert context.elapsed_ms < bound_ms, context.elapsed_ms
+
+
 @given("the first target looks better than the second")
 def given_preference(context):
     async def prepare(world):
