Let entries with wide links become readers, and leave readers whose link was lost

Change: the smaller the link of an entry, the longer it leaves a vacant place to others, up to 3 s; a lost link makes an entry prefer the other readers for 4 s. The scenario with two dead readers failed before (second of six changes).

--- a/src/kingcupusher/_gateway/process.py
+++ b/src/kingcupusher/_gateway/process.py
@@ -91,6 +91,7 @@
             entry=settings.entry,
             zone=settings.zone,
             address=settings.relay_address,
+            link_mbps=settings.link_mbps,
             rng=Random(),
             on_event=self._note,
         )
--- a/src/kingcupusher/_gateway/state.py
+++ b/src/kingcupusher/_gateway/state.py
@@ -23,7 +23,8 @@
 class GatewaySettings(Struct, frozen=True, kw_only=True):
     """Where an entry listens, who it is and which bounds it keeps.
 
-    ``seeds`` are relay addresses of other entries for a start without the store.
+    ``seeds`` are relay addresses of other entries for a start without the store. ``link_mbps`` is
+    the bandwidth of the VM's network link.
     """
 
     entry: str
@@ -35,6 +36,7 @@
     seeds: tuple[Address, ...] = ()
     rules: FleetRules
     connection_limit: int
+    link_mbps: float
 
 
 class Gateway:
--- a/src/kingcupusher/_relay/places.py
+++ b/src/kingcupusher/_relay/places.py
@@ -25,6 +25,10 @@
 OTHER_ZONE_S = 1.5
 """An entry whose zone has a reader leaves a vacant place to other zones for this time."""
 RETRY_S = 2.0
+NARROW_LINK_S = 3.0
+"""An entry with a narrow link leaves a vacant place to others for this time."""
+RELAY_LINK_MBPS = 20.0
+"""A reader of 80 entries sends 2 Mbit/s of news on average, and several times that in a burst."""
 
 
 class PlaceStore(Protocol):
@@ -49,6 +53,7 @@
         "_entry",
         "_is_stopping",
         "_lease",
+        "_link_delay_s",
         "_on_event",
         "_renew_ms",
         "_rng",
@@ -65,6 +70,7 @@
         entry: str,
         zone: str,
         address: Address,
+        link_mbps: float,
         rng: Random,
         on_event: Callable[..., None],
     ) -> None:
@@ -73,6 +79,7 @@
         self._entry = entry
         self._zone = zone
         self._address = address
+        self._link_delay_s = NARROW_LINK_S * min(1.0, RELAY_LINK_MBPS / link_mbps)
         self._rng = rng
         self._on_event = on_event
         self._slot: int | None = None
@@ -102,7 +109,8 @@
             await self._adopt(own)
         elif self._catalog.is_complete and self._vacant() is not None:
             zone_delay_s = self._zone_delay_s()
-            await curio.sleep(self._rng.random() * SPREAD_S + zone_delay_s)
+            spread_s = self._rng.random() * SPREAD_S
+            await curio.sleep(spread_s + zone_delay_s + self._link_delay_s)
             if self._vacant() is not None:
                 await self._take(has_waited=zone_delay_s > 0.0)
 
--- a/src/kingcupusher/_relay/subscriptions.py
+++ b/src/kingcupusher/_relay/subscriptions.py
@@ -29,6 +29,8 @@
 """A reader sends something every 0.9 s."""
 REDIAL_S = 0.5
 CHECK_S = 0.2
+AVOID_MS = 4_000.0
+"""A reader whose link was lost is only used meanwhile if there is no other."""
 NO_SLOT = -1
 
 
@@ -40,6 +42,7 @@
     """
 
     __slots__ = (
+        "_avoid_until_ms",
         "_catalog",
         "_entry",
         "_follower",
@@ -67,6 +70,7 @@
         self._seeds = [ReaderSeen(NO_SLOT, f"seed {seed}", "", seed) for seed in seeds]
         self._on_event = on_event
         self._links: dict[ReaderSeen, curio.Task] = {}
+        self._avoid_until_ms: dict[ReaderSeen, float] = {}
         self.counters = ByteCounters()
 
     async def run(self) -> None:
@@ -83,12 +87,15 @@
     def _wanted(self) -> list[ReaderSeen]:
         known = self._catalog.readers.values() if self._catalog.is_complete else self._seeds
         others = [reader for reader in known if reader.entry != self._entry]
+        current_ms = now_ms()
+        self._avoid_until_ms = {r: t for r, t in self._avoid_until_ms.items() if t > current_ms}
         return sorted(others, key=self._preference)[:LINK_COUNT]
 
-    def _preference(self, reader: ReaderSeen) -> tuple[bool, bytes]:
-        """Order readers by zone, and those of other zones evenly over the entries."""
+    def _preference(self, reader: ReaderSeen) -> tuple[bool, bool, bytes]:
+        """Order readers by lost links, then by zone, then evenly over the entries."""
         key = f"{self._entry} {reader.entry}".encode()
-        return reader.zone != self._zone, blake2b(key, digest_size=8).digest()
+        is_avoided = reader in self._avoid_until_ms
+        return is_avoided, reader.zone != self._zone, blake2b(key, digest_size=8).digest()
 
     async def _keep(self, reader: ReaderSeen) -> None:
         while True:
@@ -98,6 +105,7 @@
                 reason = str(error)
             except curio.TaskTimeout:
                 reason = "silent"
+            self._avoid_until_ms[reader] = now_ms() + AVOID_MS
             self._on_event("reader link lost", reader=reader.entry, reason=reason)
             await curio.sleep(REDIAL_S)
 
--- a/testing/features/relay.feature
+++ b/testing/features/relay.feature
@@ -23,6 +23,17 @@
       | all but the readers lose the store        |
       | the store forgets its history             |
 
+  Scenario: Readers that died do not keep others from the one that lives
+    Given 12 entries in 3 zones that follow a store
+    When two readers are killed and 4 s pass
+    Then each of 6 changes reaches every living entry within 1000 ms
+    And all of this holds when it is played
+
+  Scenario: Entries with a narrow link leave the places to others
+    Given 6 entries in 3 zones that follow a store, with links of 10 Mbit/s but for e1, e3 and e5
+    Then e1, e3 and e5 become the readers
+    And all of this holds when it is played
+
   Scenario: A reader's place that becomes vacant is taken by another entry
     Given 6 entries in 3 zones that follow a store
     When a reader is killed and its place becomes vacant
--- a/testing/features/steps/relay_steps.py
+++ b/testing/features/steps/relay_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import cbor2
 import curio
 from behave import given, then, when
@@ -28,11 +30,18 @@
         self.addresses = {}
         self.members = {}
         self.living = set()
+        self.link_mbps = {}
 
     async def start(self, name):
         """Start the entry ``name``."""
         address = self.addresses.setdefault(name, free_address())
-        self.members[name] = Member(name, self.zones[name], self.store, address=address)
+        self.members[name] = Member(
+            name,
+            self.zones[name],
+            self.store,
+            address=address,
+            link_mbps=self.link_mbps.get(name, 1_000.0),
+        )
         self.living.add(name)
         await self.members[name].start()
 
@@ -77,6 +86,26 @@
     context.steps = []
 
 
+@given(
+    "{count:d} entries in {zones:d} zones that follow a store, with links of {narrow_mbps:g} Mbit/s"
+    " but for e1, e3 and e5"
+)
+def given_narrow(context, count, zones, narrow_mbps):
+    context.scene = Scene(count, zones)
+    wide = ("e1", "e3", "e5")
+    context.scene.link_mbps = {n: 200.0 if n in wide else narrow_mbps for n in context.scene.zones}
+    context.steps = []
+
+
+@then("e1, e3 and e5 become the readers")
+def then_wide(context):
+    # Guards against a reader that cannot carry the news of a large fleet over its own link.
+    async def check(scene):
+        assert scene.readers() == ["e1", "e3", "e5"], scene.readers()
+
+    context.steps.append(check)
+
+
 @then("3 readers are found, one in each zone")
 def then_readers(context):
     async def check(scene):
@@ -150,6 +179,36 @@
 }
 
 
+@when("two readers are killed and {pause_s:g} s pass")
+def when_two_killed(context, pause_s):
+    async def step(scene):
+        for name in scene.readers()[:2]:
+            await scene.stop(name)
+        await curio.sleep(pause_s)
+
+    context.steps.append(step)
+
+
+@then("each of {count:d} changes reaches every living entry within {bound_ms:g} ms")
+def then_known_soon(context, count, bound_ms):
+    # Guards against entries that stay with readers that have nothing to say, and learn of a
+    # change only when their own news are stale. The pauses meet all phases of their reads.
+    async def check(scene):
+        for number in range(count):
+            zone = f"out{number}"
+            scene.store.write(zone, ZoneTakenOut(zone))
+            members = [scene.members[name] for name in scene.living]
+            is_known = partial(_all_know, members, zone)
+            assert await scene.wait_for(is_known, within_ms=bound_ms), number
+            await curio.sleep(0.4)
+
+    context.steps.append(check)
+
+
+def _all_know(members, zone):
+    return all(zone in member.catalog.zones_out for member in members)
+
+
 @when("a zone is taken out")
 def when_zone_out(context):
     async def step(scene):
--- a/testing/gateway/fleet.py
+++ b/testing/gateway/fleet.py
@@ -22,7 +22,7 @@
 class Member:
     """The discovery part of one entry."""
 
-    def __init__(self, name, zone, store, *, address, seeds=()):
+    def __init__(self, name, zone, store, *, address, seeds=(), link_mbps=1_000.0):
         self.name = name
         self.events = []
         self.catalog = Catalog()
@@ -33,6 +33,7 @@
             entry=name,
             zone=zone,
             address=address,
+            link_mbps=link_mbps,
             rng=Random(name),
             on_event=self._note,
         )
--- a/testing/gateway/world.py
+++ b/testing/gateway/world.py
@@ -98,6 +98,7 @@
             seeds=(),
             rules=rules or FleetRules(retry_slack=320.0, probes_per_s=1_000_000.0),
             connection_limit=20,
+            link_mbps=1_000.0,
         )
         self.log_reader, log_writer = os.pipe()
         self.catalog = Catalog()
