Log messages of the event loop as bounded events

Late timers are no longer told of; an unexpected error is one event with its place. The scenario failed before.

--- a/src/kingcupusher/_gateway/process.py
+++ b/src/kingcupusher/_gateway/process.py
@@ -21,6 +21,7 @@
 from kingcupusher._http.service import Request, serve
 from kingcupusher._observe.events import EventLog
 from kingcupusher._observe.registry import Labels, labels
+from kingcupusher._observe.runtime_log import log_runtime_messages
 from kingcupusher._relay import PlaceStore, ReaderPlace, RelayServer, Subscriptions
 
 TIDY_S = 0.5
@@ -51,6 +52,7 @@
     log: EventLog,
 ) -> None:
     """Run one entry until SIGTERM."""
+    log_runtime_messages(log)
     curio.run(GatewayProcess(settings, store=store, dialect=dialect, log=log, reload=reload).run)
 
 
--- a/testing/features/event_log.feature
+++ b/testing/features/event_log.feature
@@ -14,3 +14,8 @@
     Given a log whose reader has gone
     When 10 lines of 100 bytes are written
     Then nothing was raised
+
+  Scenario: An unexpected error in a task is one line of the log, and late timers are none
+    Given a log that takes over the messages of the event loop
+    When a task ends with the error "broken invariant" and a timer is late
+    Then one line names the error and its place, and nothing else was written
--- a/testing/features/steps/event_log_steps.py
+++ b/testing/features/steps/event_log_steps.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import json
+import logging
 import os
 import time
 
+import curio
 from behave import given, then, when
 
 from kingcupusher._core import now_ms
 from kingcupusher._observe import events
 from kingcupusher._observe.events import EventLog
+from kingcupusher._observe.runtime_log import log_runtime_messages
 
 
 def _open_log(context):
@@ -87,3 +90,39 @@
 @then("nothing was raised")
 def then_alive(context):
     assert context.log.dropped > 0
+
+
+@given("a log that takes over the messages of the event loop")
+def given_runtime_log(context):
+    _open_log(context)
+    logger = logging.getLogger("curio")
+    before = (logger.handlers, logger.propagate)
+    context.add_cleanup(_restore, logger, *before)
+    log_runtime_messages(context.log)
+
+
+def _restore(logger, handlers, propagate):
+    logger.handlers, logger.propagate = handlers, propagate
+    logging.getLogger("curio.time").setLevel(logging.NOTSET)
+
+
+@when('a task ends with the error "{text}" and a timer is late')
+def when_task_fails(context, text):
+    async def fail():
+        raise ValueError(text)
+
+    async def main():
+        await curio.spawn(fail, daemon=True)
+        await curio.sleep(0.01)
+        logging.getLogger("curio.time").warning("Operation completed successfully, but late")
+
+    curio.run(main)
+
+
+@then("one line names the error and its place, and nothing else was written")
+def then_one_line(context):
+    # Guards against faults that are told on standard error only, without bound or structure.
+    lines = _lines(context)
+    assert len(lines) == 1, lines
+    assert "broken invariant" in lines[0]["error"], lines
+    assert "event_log_steps.py:" in lines[0]["place"], lines
