--- a/src/kingcupusher/_gateway/selector.py
+++ b/src/kingcupusher/_gateway/selector.py
@@ -25,7 +25,8 @@
 SELECTION = "zone_first"
 ASK_SHARE = 0.85
 """Part of the allowed questions that is used; entries that start anew begin with full buckets."""
-ASK_BURST_S = 4.0
+ASK_BURST_S = 12.0
+"""Questions that were not needed are saved for a crowd; the limit holds for the mean of a day."""
 CONNECTION_SHARE = 0.6
 """Part of a target's connections that is used; a target with a long queue accepts fewer."""
 
