Read callers' input and host names in one place for both request paths

No change of behaviour: the 97 scenarios of both request paths passed before and after, with their assertions.

--- a/src/kingcupusher/_gateway/exchange.py
+++ b/src/kingcupusher/_gateway/exchange.py
@@ -25,6 +25,7 @@
 from kingcupusher._gateway.state import Gateway
 from kingcupusher._gateway.survey import Answer
 from kingcupusher._http.errors import DeadlineError
+from kingcupusher._http.heads import host_name
 from kingcupusher._http.pipeline import CallerRequest
 from kingcupusher._http.timer import RequestTimer
 from kingcupusher._http.whole import WholeResponse
@@ -119,7 +120,7 @@
                 return NO_ROUTES_YET
             await curio.sleep(POLL_S)
         head = self._caller.head
-        host = _host_name(dict(head.headers).get(b"host", b""))
+        host = host_name(dict(head.headers).get(b"host", b""))
         route = catalog.route_for(host, head.target.partition(b"?")[0])
         if route is None:
             return NO_ROUTE
@@ -327,9 +328,3 @@
             sends=len(self._sends),
             received_ms=self._caller.received_ms,
         )
-
-
-def _host_name(value: bytes) -> bytes:
-    """Return the value of a ``Host`` header in lower case and without its port."""
-    name, separator, port = value.lower().rpartition(b":")
-    return name if separator and port.isdigit() else value.lower()
--- a/src/kingcupusher/_http/heads.py
+++ b/src/kingcupusher/_http/heads.py
@@ -46,6 +46,12 @@
     return next((value for key, value in headers if key == name), None)
 
 
+def host_name(value: bytes) -> bytes:
+    """Return the value of a ``Host`` header in lower case and without its port."""
+    name, separator, port = value.lower().rpartition(b":")
+    return name if separator and port.isdigit() else value.lower()
+
+
 def trusted_headers(headers: HeaderList) -> Headers:
     """Return h11 headers without validation.
 
--- a/src/kingcupusher/_http/pipeline.py
+++ b/src/kingcupusher/_http/pipeline.py
@@ -13,20 +13,23 @@
 from msgspec import Struct
 
 from kingcupusher._core import now_ms
+from kingcupusher._http.caller_input import (
+    CONTINUE,
+    END,
+    NEVER_MS,
+    READ_BYTES,
+    next_event,
+    request_head,
+)
 from kingcupusher._http.errors import BadRequestError, CallerGoneError
-from kingcupusher._http.framing import request_fault
 from kingcupusher._http.heads import HeaderList, RequestHead, trusted_headers
 from kingcupusher._http.sending import send_all
 
-READ_BYTES = 16_384
 MAX_PIPELINED = 16
 LINGER_MS = 500.0
 """A caller gets this long to close first; closing with unread input would reset its response."""
 WRITE_MS = 5_000.0
 """A caller that does not take its response for this long is cut."""
-NEVER_MS = float("inf")
-END = h11.EndOfMessage()
-CONTINUE = h11.InformationalResponse(status_code=100, headers=[])
 
 
 class PipelineLimits(Struct, kw_only=True):
@@ -176,7 +179,7 @@
         timeout_ms = self._limits.head_timeout_ms if has_bytes else self._limits.idle_timeout_ms
         self.deadline_ms = received_ms + timeout_ms
         while True:
-            event = self._next_event(http)
+            event = next_event(http)
             if event is h11.NEED_DATA:
                 if http.they_are_waiting_for_100_continue:
                     await self.write(http.send(CONTINUE) or b"")
@@ -189,7 +192,7 @@
                     self.deadline_ms = received_ms + self._limits.head_timeout_ms
                 http.receive_data(data)
             elif type(event) is h11.Request:
-                head = _checked(RequestHead.of(event))
+                head = request_head(event)
                 self.deadline_ms = now_ms() + max(
                     self._limits.head_timeout_ms, self._limits.idle_timeout_ms
                 )
@@ -203,12 +206,6 @@
             else:
                 return None
 
-    def _next_event(self, http: h11.Connection) -> object:
-        try:
-            return http.next_event()
-        except h11.RemoteProtocolError as error:
-            raise BadRequestError(error.error_status_hint, str(error)) from None
-
     async def _receive(self) -> bytes:
         await _read_wait(self._sock._fileno)
         data: bytes = await self._sock.recv(READ_BYTES)
@@ -318,10 +315,3 @@
             if request.task is not None:
                 await request.task.cancel()
         self._pending.clear()
-
-
-def _checked(request: RequestHead) -> RequestHead:
-    fault = request_fault(request)
-    if fault is not None:
-        raise BadRequestError(400, fault)
-    return request
--- a/src/kingcupusher/_http/server_connection.py
+++ b/src/kingcupusher/_http/server_connection.py
@@ -6,7 +6,6 @@
 import struct
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
-from typing import Any
 
 import curio
 import h11
@@ -14,19 +13,21 @@
 from msgspec import Struct
 
 from kingcupusher._core import now_ms
+from kingcupusher._http.caller_input import (
+    CONTINUE,
+    END,
+    NEVER_MS,
+    READ_BYTES,
+    next_event,
+    request_head,
+)
 from kingcupusher._http.errors import BadRequestError, CallerGoneError
-from kingcupusher._http.framing import request_fault
 from kingcupusher._http.heads import HeaderList, RequestHead, trusted_headers
 from kingcupusher._http.sending import send_all
 
-READ_BYTES = 16_384
 MAX_PENDING_BYTES = 65_536
 CLOSE_WAIT_MS = 1_000.0
-NEVER_MS = float("inf")
 RESET_LINGER = struct.pack("ii", 1, 0)
-CONTINUE = h11.InformationalResponse(status_code=100, headers=[])
-END = h11.EndOfMessage()
-ERROR_STATES = (h11.ERROR, h11.MUST_CLOSE, h11.CLOSED)
 
 
 class ServerLimits(Struct, frozen=True, kw_only=True):
@@ -135,19 +136,13 @@
         if self.is_idle and not await self._feed_head():
             return None
         while True:
-            event = self._next_event()
+            event = next_event(self._http)
             if type(event) is h11.Request:
                 self.deadline_ms = NEVER_MS
-                return self._checked(RequestHead.of(event))
+                return request_head(event)
             if event is not h11.NEED_DATA or not await self._feed_head():
                 return None
 
-    def _checked(self, request: RequestHead) -> RequestHead:
-        fault = request_fault(request)
-        if fault is not None:
-            raise BadRequestError(400, fault)
-        return request
-
     async def _feed_head(self) -> bool:
         while not self._pending:
             if self._gone:
@@ -173,19 +168,13 @@
         if self._is_reader_waiting and len(self._pending) < MAX_PENDING_BYTES:
             await self._has_room.set()
 
-    def _next_event(self) -> Any:
-        try:
-            return self._http.next_event()
-        except h11.RemoteProtocolError as error:
-            raise BadRequestError(error.error_status_hint, str(error)) from None
-
     async def next_body(self) -> bytes | None:
         """Return the next piece of the request body, or ``None`` at its end.
 
         Raises :class:`CallerGoneError` if the caller closed before the end.
         """
         while True:
-            event = self._next_event()
+            event = next_event(self._http)
             if type(event) is h11.Data:
                 return bytes(event.data)
             if type(event) is h11.EndOfMessage:
--- a/src/kingcupusher/_http/whole.py
+++ b/src/kingcupusher/_http/whole.py
@@ -7,6 +7,7 @@
 
 from kingcupusher._http.client_connection import END, ClientConnection
 from kingcupusher._http.errors import ExchangeError
+from kingcupusher._http.framing import has_two_lengths
 from kingcupusher._http.heads import HeaderList, ResponseHead, first_value
 
 MAX_RESPONSE_BYTES = 33_554_432
@@ -61,6 +62,5 @@
 
 
 def _check_framing(head: ResponseHead, connection: ClientConnection) -> None:
-    names = [name for name, _ in head.headers]
-    if b"content-length" in names and b"transfer-encoding" in names:
+    if has_two_lengths(head.headers):
         raise ExchangeError(f"response of {connection.address} has two lengths")
--- a/src/kingcupusher/_proxy/classify.py
+++ b/src/kingcupusher/_proxy/classify.py
@@ -10,7 +10,7 @@
 from msgspec import Struct
 
 from kingcupusher._config import Service
-from kingcupusher._http.heads import RequestHead
+from kingcupusher._http.heads import RequestHead, host_name
 from kingcupusher._proxy.directory import Directory
 from kingcupusher._proxy.errors import RejectedError
 
@@ -43,7 +43,7 @@
     Raises :class:`RejectedError` if no service answers for it or a header is not valid.
     """
     headers = dict(head.headers)
-    host = _host_name(headers.get(b"host", b""))
+    host = host_name(headers.get(b"host", b""))
     service = directory.service_for(host)
     if service is None:
         raise RejectedError(404, f"no service answers for host {host.decode('latin-1')!r}")
@@ -57,12 +57,6 @@
     )
 
 
-def _host_name(value: bytes) -> bytes:
-    """Return the value of a ``Host`` header in lower case and without its port."""
-    name, separator, port = value.lower().rpartition(b":")
-    return name if separator and port.isdigit() else value.lower()
-
-
 def _timeout_ms(headers: dict[bytes, bytes], service: Service) -> int:
     value = headers.get(b"x-request-timeout-ms")
     if value is None:
