Hash names, decode messages, budget lines and open targets in one place each

The relay sorted the names of its subscribers for each of them at each message; it does so now when one comes or goes. The relay's error for an unreadable message shows its first bytes too, as the peers' error does; nothing else changes.

--- a/src/kingcupusher/_discovery/catalog.py
+++ b/src/kingcupusher/_discovery/catalog.py
@@ -121,18 +121,12 @@
         return [
             target
             for target in self.targets.values()
-            if target.record.service == service
-            and not target.record.is_draining
-            and target.record.zone not in self.zones_out
+            if target.record.service == service and self._takes_work(target)
         ]
 
     def may_send(self, target: Target) -> bool:
         """Return whether ``target`` is still the one that was chosen and may get work."""
-        return (
-            self.targets.get(target.target_id) is target
-            and not target.record.is_draining
-            and target.record.zone not in self.zones_out
-        )
+        return self.targets.get(target.target_id) is target and self._takes_work(target)
 
     def snapshot(self) -> list[Change]:
         """Return the whole picture as changes, for an entry that starts from nothing."""
@@ -143,6 +137,9 @@
 
     # -- details
 
+    def _takes_work(self, target: Target) -> bool:
+        return not target.record.is_draining and target.record.zone not in self.zones_out
+
     def _drop(self, target_id: str, reason: str) -> None:
         if self.targets.pop(target_id, None) is not None:
             self._tell("target removed", target=target_id, reason=reason)
--- a/src/kingcupusher/_gateway/exchange.py
+++ b/src/kingcupusher/_gateway/exchange.py
@@ -226,9 +226,8 @@
             self._service, exclude=self._tried, deadline_ms=self._deadline_ms
         )
         best = survey.answers[0] if survey.answers else None
-        if best is not None and patience is not None:
-            if not selector.suits(best, patience, is_last=is_last):
-                best = None
+        if best and patience and not selector.suits(best, patience, is_last=is_last):
+            best = None
         self._log.choice(survey, best)
         await selector.give_back([a for a in survey.answers if a is not best])
         return best
--- a/src/kingcupusher/_limits/cold.py
+++ b/src/kingcupusher/_limits/cold.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import hashlib
 from collections import deque
 from collections.abc import Collection
 
+from kingcupusher._core.affinity import affinity
+
 WINDOW_MS = 1_100.0
 """A little above the second over which the bound holds, as requests take time to arrive."""
 
@@ -18,14 +19,10 @@
     """
     names = set(entries) | {entry}
     base, extra = divmod(total, len(names))
-    ranked = sorted(names, key=lambda name: _weight(name, target_id))
+    ranked = sorted(names, key=lambda name: affinity(name, target_id))
     return base + (1 if ranked.index(entry) < extra else 0)
 
 
-def _weight(name: str, target_id: str) -> bytes:
-    return hashlib.blake2b(f"{name} {target_id}".encode(), digest_size=8).digest()
-
-
 class ColdWindow:
     """Requests that this entry sent to one target in the last window."""
 
--- a/src/kingcupusher/_observe/logs.py
+++ b/src/kingcupusher/_observe/logs.py
@@ -8,7 +8,7 @@
 import logbook
 import msgspec
 
-from kingcupusher._core import now_ms
+from kingcupusher._observe.events import LineBudget
 
 LEVELS = {
     "debug": logbook.DEBUG,
@@ -16,8 +16,7 @@
     "warning": logbook.WARNING,
     "error": logbook.ERROR,
 }
-BURST = 20
-REFILL_PER_S = 10.0
+WARNINGS_PER_S = 10.0
 
 
 class JsonHandler(logbook.StreamHandler):  # type: ignore[misc]
@@ -45,30 +44,17 @@
 class RateLimitedLogger:
     """Logger for the request path: drops records above a rate and counts the dropped ones."""
 
-    __slots__ = ("_dropped", "_logger", "_refilled_ms", "_tokens")
+    __slots__ = ("_budget", "_logger")
 
     def __init__(self, name: str) -> None:
         self._logger = logbook.Logger(name)
-        self._tokens = float(BURST)
-        self._refilled_ms = now_ms()
-        self._dropped = 0
+        self._budget = LineBudget(WARNINGS_PER_S)
 
     def warning(self, message: str, **fields: Any) -> None:
         """Log a warning with ``fields`` unless the rate is exceeded."""
-        if not self._take():
-            self._dropped += 1
+        if not self._budget.try_take():
             return
-        if self._dropped:
-            fields["dropped_records"] = self._dropped
-            self._dropped = 0
+        if self._budget.dropped:
+            fields["dropped_records"] = self._budget.dropped
+            self._budget.dropped = 0
         self._logger.warning(message, **fields)
-
-    def _take(self) -> bool:
-        now = now_ms()
-        refill = (now - self._refilled_ms) / 1000.0 * REFILL_PER_S
-        self._tokens = min(float(BURST), self._tokens + refill)
-        self._refilled_ms = now
-        if self._tokens < 1.0:
-            return False
-        self._tokens -= 1.0
-        return True
--- a/src/kingcupusher/_peers/codec.py
+++ b/src/kingcupusher/_peers/codec.py
@@ -6,6 +6,7 @@
 
 import cbor2
 import msgspec
+from msgspec import Struct
 
 from kingcupusher._peers.errors import MessageError
 from kingcupusher._peers.messages import Message
@@ -13,19 +14,23 @@
 SHOWN_BYTES = 16
 
 
-def encode(message: Message) -> bytes:
+def encode(message: Struct) -> bytes:
     """Return the wire form of ``message``."""
     return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
 
 
 def decode(data: bytes) -> Message:
     """Return the message in ``data``; raise :class:`MessageError` if it is not a known one."""
+    message: Message = decode_as(data, Message, what="a message")
+    return message
+
+
+def decode_as(data: bytes, kind: Any, *, what: str) -> Any:
+    """Return the message of type ``kind`` in ``data``; the error says that it is not ``what``."""
     try:
-        content: Any = cbor2.loads(data)
-        message: Message = msgspec.convert(content, Message)
+        return msgspec.convert(cbor2.loads(data), kind)
     except (cbor2.CBORError, msgspec.ValidationError) as error:
         shown = bytes(data[:SHOWN_BYTES]).hex()
         raise MessageError(
-            f"{len(data)} bytes starting with {shown} are not a message: {error}"
+            f"{len(data)} bytes starting with {shown} are not {what}: {error}"
         ) from error
-    return message
--- a/src/kingcupusher/_relay/messages.py
+++ b/src/kingcupusher/_relay/messages.py
@@ -6,14 +6,12 @@
 
 from __future__ import annotations
 
-from typing import Any
-
-import cbor2
-import msgspec
 from msgspec import Struct
 
 from kingcupusher._discovery import Change
-from kingcupusher._peers.errors import MessageError
+from kingcupusher._peers.codec import decode_as, encode
+
+__all__ = ["Attendance", "News", "Pulse", "RelayMessage", "Subscribe", "decode", "encode"]
 
 
 class Subscribe(Struct, array_like=True, frozen=True, tag=1):
@@ -48,16 +46,7 @@
 RelayMessage = Subscribe | News | Pulse | Attendance
 
 
-def encode(message: RelayMessage) -> bytes:
-    """Return the wire form of ``message``."""
-    return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
-
-
 def decode(data: bytes) -> RelayMessage:
     """Return the message in ``data``; raise :class:`MessageError` if it is not a known one."""
-    try:
-        content: Any = cbor2.loads(data)
-        message: RelayMessage = msgspec.convert(content, RelayMessage)
-    except (cbor2.CBORError, msgspec.ValidationError) as error:
-        raise MessageError(f"{len(data)} bytes are not a message of the relay: {error}") from error
+    message: RelayMessage = decode_as(data, RelayMessage, what="a message of the relay")
     return message
--- a/src/kingcupusher/_relay/server.py
+++ b/src/kingcupusher/_relay/server.py
@@ -40,7 +40,15 @@
 class RelayServer:
     """Accepts subscriptions; any entry may be asked, also one that is a reader no longer."""
 
-    __slots__ = ("_address", "_catalog", "_entry", "_follower", "_subscribers", "counters")
+    __slots__ = (
+        "_address",
+        "_attendance",
+        "_catalog",
+        "_entry",
+        "_follower",
+        "_subscribers",
+        "counters",
+    )
 
     def __init__(
         self, address: Address, follower: Follower, catalog: Catalog, *, entry: str
@@ -50,6 +58,7 @@
         self._catalog = catalog
         self._entry = entry
         self._subscribers: dict[_Subscriber, None] = {}
+        self._attendance = [entry]
         self.counters = ByteCounters()
 
     async def run(self) -> None:
@@ -82,6 +91,7 @@
 
     async def _serve(self, connection: Connection, subscriber: _Subscriber) -> None:
         self._subscribers[subscriber] = None
+        self._list_entries()
         watcher = await curio.spawn(_wait_for_end, connection, daemon=True)
         try:
             while not watcher.terminated:
@@ -90,8 +100,12 @@
                 await self._wait_for_news(subscriber)
         finally:
             self._subscribers.pop(subscriber, None)
+            self._list_entries()
             await watcher.cancel()
 
+    def _list_entries(self) -> None:
+        self._attendance = sorted({self._entry, *(s.entry for s in self._subscribers)})
+
     async def _wait_for_news(self, subscriber: _Subscriber) -> None:
         # A subscriber may know more than this entry, from another reader; that is no news.
         if (self._follower.revision or 0) > (subscriber.revision or 0):
@@ -108,7 +122,7 @@
         return News(update.revision, age_ms, update.is_whole, update.changes)
 
     async def _send_attendance(self, connection: Connection, subscriber: _Subscriber) -> None:
-        names = sorted({self._entry, *(s.entry for s in self._subscribers)})
+        names = self._attendance
         is_changed = names != subscriber.attendance
         interval_ms = ATTENDANCE_CHANGE_MS if is_changed else ATTENDANCE_MS
         if now_ms() < subscriber.attended_ms + interval_ms:
--- a/src/kingcupusher/_relay/subscriptions.py
+++ b/src/kingcupusher/_relay/subscriptions.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from hashlib import blake2b
 
 import curio
 
 from kingcupusher._core import now_ms
 from kingcupusher._core.address import Address
+from kingcupusher._core.affinity import affinity
 from kingcupusher._discovery import Catalog, Follower, ReaderSeen, Update
 from kingcupusher._peers.connection import ByteCounters, Connection, PeerIdentity, dial
 from kingcupusher._peers.errors import HandshakeError, LinkClosedError, MessageError
@@ -93,9 +93,8 @@
 
     def _preference(self, reader: ReaderSeen) -> tuple[bool, bool, bytes]:
         """Order readers by lost links, then by zone, then evenly over the entries."""
-        key = f"{self._entry} {reader.entry}".encode()
         is_avoided = reader in self._avoid_until_ms
-        return is_avoided, reader.zone != self._zone, blake2b(key, digest_size=8).digest()
+        return is_avoided, reader.zone != self._zone, affinity(self._entry, reader.entry)
 
     async def _keep(self, reader: ReaderSeen) -> None:
         while True:
--- a/src/kingcupusher/_routing/selection.py
+++ b/src/kingcupusher/_routing/selection.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import hashlib
 from collections.abc import Sequence
 from random import Random
 from typing import Protocol, TypeVar
 
 from kingcupusher._core import Registry
+from kingcupusher._core.affinity import affinity
 from kingcupusher._routing.reading import LoadReading, expected_slowness
 
 OTHER_ZONE_SLOWNESS = 0.05
@@ -47,12 +47,8 @@
 ASK_SELECTIONS: Registry[AskSelection] = Registry("ask selection")
 
 
-def _affinity(entry: str, target_id: str) -> bytes:
-    return hashlib.blake2b(f"{entry} {target_id}".encode(), digest_size=8).digest()
-
-
 def _by_affinity(candidates: Sequence[C], entry: str) -> list[C]:
-    return sorted(candidates, key=lambda c: _affinity(entry, c.target_id))
+    return sorted(candidates, key=lambda c: affinity(entry, c.target_id))
 
 
 def _shuffled(groups: Sequence[list[C]], rng: Random) -> list[C]:
