Let the soak use the load tool's connection, and shorten its fleet and the gateway's steps

Cause: the soak's callers had a second keep-alive client beside standins.load.connection; its fleet kept an address and a command that followed from others; steps of the gateway repeated the same preparation and five setters of a load.

--- a/testing/features/steps/gateway_steps.py
+++ b/testing/features/steps/gateway_steps.py
@@ -49,6 +49,14 @@
     context.prepare = []
 
 
+def _let_know_entries(context, count):
+    async def prepare(world):
+        names = [f"e{i + 1}" for i in range(count)]
+        world.catalog.roster.note(names, now_ms=now_ms())
+
+    context.prepare.append(prepare)
+
+
 @given("a gateway before targets that behave as {targets}")
 def given_gateway(context, targets):
     _start(context, targets.split(","))
@@ -58,25 +66,13 @@
 def given_cold(context, count):
     rules = FleetRules(retry_slack=0.0, probes_per_s=1_000_000.0, cold_overshoot=2.0)
     _start(context, ["well"], loads=[COLD_LOAD], rules=rules)
-    context.entries = count
-
-    async def prepare(world):
-        names = [f"e{i + 1}" for i in range(count)]
-        world.catalog.roster.note(names, now_ms=now_ms())
-
-    context.prepare.append(prepare)
+    _let_know_entries(context, count)
 
 
 @given("a gateway of {count:d} entries before one target that bears {connections:d} connections")
 def given_few_connections(context, count, connections):
     _start(context, ["slow"], table=routes(max_connections=connections))
-    context.entries = count
-
-    async def prepare(world):
-        names = [f"e{i + 1}" for i in range(count)]
-        world.catalog.roster.note(names, now_ms=now_ms())
-
-    context.prepare.append(prepare)
+    _let_know_entries(context, count)
 
 
 @given("a gateway without repeats before targets that behave as {targets}")
@@ -151,29 +147,12 @@
     target.target_id = "another"
 
 
-async def _cool(world, target):
-    del world
-    target.load = COLD_LOAD
+def _says(load):
+    async def change(world, target):
+        del world
+        target.load = load
 
-
-async def _slow_down(world, target):
-    del world
-    target.load = "0,0,400,0"
-
-
-async def _cool_and_slow_down(world, target):
-    del world
-    target.load = COLD_SLOW_LOAD
-
-
-async def _crowd(world, target):
-    del world
-    target.load = CROWDED_LOAD
-
-
-async def _fill(world, target):
-    del world
-    target.load = FULL_LOAD
+    return change
 
 
 async def _fall_ill(world, target):
@@ -186,11 +165,11 @@
     "in a zone that was taken out": _take_zone_out,
     "gone": _remove,
     "replaced at its address": _replace,
-    "cold": _cool,
-    "cold and slow now": _cool_and_slow_down,
-    "crowded": _crowd,
-    "slow now": _slow_down,
-    "full": _fill,
+    "cold": _says(COLD_LOAD),
+    "cold and slow now": _says(COLD_SLOW_LOAD),
+    "crowded": _says(CROWDED_LOAD),
+    "slow now": _says("0,0,400,0"),
+    "full": _says(FULL_LOAD),
     "calling itself ill": _fall_ill,
 }
 
@@ -229,10 +208,7 @@
 
 @given("the target stays full")
 def given_full(context):
-    async def prepare(world):
-        await _fill(world, world.targets[0])
-
-    context.prepare.append(prepare)
+    _prepare_target(context, 0, "full")
 
 
 @when("a caller sends it {request}")
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -10,6 +10,9 @@
 
 from kingcupusher._core import now_ms
 from kingcupusher._core.address import Address
+from kingcupusher._http.tcp import connect
+from standins.load.connection import CallerConnection
+from standins.load.errors import LoadError
 from testing.soak.target import REQUEST_ID, SIGNATURE, body_of, digest
 
 HOST = "soak.example"
@@ -17,7 +20,6 @@
 ANSWER_GRACE_MS = 1_000.0
 """A response may come this much after the deadline that the caller announced."""
 THINK_S = 0.12
-RECEIVE_BYTES = 65_536
 PREFIXES = {True: "/read/", False: "/once/"}
 
 
@@ -42,7 +44,7 @@
         self._name = name
         self._entries = entries
         self._rng = rng
-        self._sockets: dict[str, curio.io.Socket] = {}
+        self._connections: dict[str, CallerConnection] = {}
         self.records: list[Record] = []
 
     async def run(self) -> None:
@@ -67,7 +69,7 @@
                 await self._exchange(record, method, path, body)
         except curio.TaskTimeout:
             record.end = "timeout"
-        except (OSError, h11.RemoteProtocolError) as error:
+        except (OSError, LoadError) as error:
             record.end = f"closed: {error}"
         record.ended_ms = now_ms()
         if record.end:
@@ -75,46 +77,25 @@
         return record
 
     async def _exchange(self, record: Record, method: str, path: str, body: bytes) -> None:
-        sock = self._sockets.get(record.entry)
-        if sock is None:
-            address = self._entries[record.entry]
-            sock = await curio.open_connection(address.host, address.port)
-            self._sockets[record.entry] = sock
-        http = h11.Connection(h11.CLIENT)
+        connection = self._connections.get(record.entry)
+        if connection is None:
+            connection = CallerConnection(await connect(self._entries[record.entry]))
+            self._connections[record.entry] = connection
         headers = [
             ("host", HOST),
             (REQUEST_ID, record.request_id),
             ("x-kingcupusher-request-deadline", str(int(TIMEOUT_MS))),
             ("content-length", str(len(body))),
         ]
-        data = http.send(h11.Request(method=method, target=path, headers=headers)) or b""
-        data += http.send(h11.Data(data=body)) or b"" if body else b""
-        await sock.sendall(data + (http.send(h11.EndOfMessage()) or b""))
-        head, content = await _read(http, sock)
-        record.status = head.status_code
-        fields = dict(head.headers)
-        expected = body_of(record.request_id, body)
-        record.is_own = SIGNATURE in fields and content == expected
-        if fields.get(b"connection") == b"close":
+        head = h11.Request(method=method, target=path, headers=headers)
+        answer = await connection.exchange(head, body)
+        record.status = answer.status
+        is_whole = answer.body == body_of(record.request_id, body)
+        record.is_own = SIGNATURE in answer.headers and is_whole
+        if not connection.reusable:
             await self._drop(record.entry)
 
     async def _drop(self, entry: str) -> None:
-        sock = self._sockets.pop(entry, None)
-        if sock is not None:
-            await sock.close()
-
-
-async def _read(http: h11.Connection, sock: curio.io.Socket) -> tuple[h11.Response, bytes]:
-    head, content = None, bytearray()
-    while True:
-        event = http.next_event()
-        if event is h11.NEED_DATA:
-            http.receive_data(await sock.recv(RECEIVE_BYTES))
-        elif isinstance(event, h11.Response):
-            head = event
-        elif isinstance(event, h11.Data):
-            content += event.data
-        elif isinstance(event, h11.EndOfMessage) and head is not None:
-            return head, bytes(content)
-        elif isinstance(event, h11.ConnectionClosed):
-            raise OSError("the connection ended before the response")
+        connection = self._connections.pop(entry, None)
+        if connection is not None:
+            await connection.close()
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -89,7 +89,7 @@
     target, kind = rng.choice(fleet.targets), rng.choice(TARGET_FAULTS)
     path = f"/fault?kind={kind}&for_ms={for_s * 1000.0}"
     try:
-        await fetch(target.address, "POST", path, deadline_ms=now_ms() + 500.0)
+        await fetch(target.link.upstream, "POST", path, deadline_ms=now_ms() + 500.0)
     except HttpError:
         # The target is paused or killed by another fault of the run.
         return
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -40,14 +40,15 @@
 
 
 class Part:
-    """An entry or target: its process, its own address, and the link that can be cut."""
+    """An entry or target: its process, and the link that can be cut.
 
-    def __init__(self, name: str, zone: str, link: Link, command: list[str]) -> None:
+    The link leads to the target, or from the entry to the store.
+    """
+
+    def __init__(self, name: str, zone: str, link: Link) -> None:
         self.name = name
         self.zone = zone
         self.link = link
-        self.command = command
-        self.address = link.upstream
         self.process: ManagedProcess | None = None
         self.may_end = False
         self.restarts = 0
@@ -59,7 +60,6 @@
     def __init__(self, group: ProcessGroup, *, entries: int, targets: int) -> None:
         self._group = group
         self._store_address = group.addresses.take()
-        self._timeout_s = 2.0
         self._version = 0
         self.store_process: ManagedProcess | None = None
         self.run_log = group.directory / "runs.log"
@@ -71,7 +71,7 @@
 
     def _target(self, index: int) -> Part:
         link = Link(self._group.addresses.take(), self._group.addresses.take())
-        return Part(f"t{index}", ZONES[index % 2], link, [])
+        return Part(f"t{index}", ZONES[index % 2], link)
 
     def _entries(self, count: int) -> list[Part]:
         take = self._group.addresses.take
@@ -80,7 +80,6 @@
         for index in range(count):
             name, link = f"e{index}", Link(take(), self._store_address)
             self.callers[name] = take()
-            path = self._group.directory / f"{name}.toml"
             text = SETTINGS.format(
                 name=name,
                 zone=ZONES[index % 2],
@@ -92,15 +91,17 @@
                 relay=relays[index],
                 store=link.address,
             )
-            path.write_text(text, encoding="utf-8")
-            command = [sys.executable, str(ROOT / "platform" / "run_entry.py")]
-            entries.append(Part(name, ZONES[index % 2], link, command))
+            self._settings_path(name).write_text(text, encoding="utf-8")
+            entries.append(Part(name, ZONES[index % 2], link))
         return entries
 
+    def _settings_path(self, name: str) -> Path:
+        return self._group.directory / f"{name}.toml"
+
     async def start(self) -> None:
         """Start everything; return when all entries accept callers."""
-        store = [sys.executable, "-m", "testing.soak.store", str(self._store_address)]
-        self.store_process = self._group.start_command("store", store)
+        address = str(self._store_address)
+        self.store_process = self._group.start_module("store", "testing.soak.store", address)
         self.store_process.wait_ready(self._store_address)
         for part in [*self.targets, *self.entries]:
             await curio.spawn(part.link.run, daemon=True)
@@ -115,20 +116,19 @@
 
     def start_entry(self, entry: Part) -> None:
         """Start an entry's process, again if it had ended."""
-        path = self._group.directory / f"{entry.name}.toml"
+        path = self._settings_path(entry.name)
         environment = os.environ | {"KINGCUPUSHER_SETTINGS": str(path)}
+        command = [sys.executable, str(ROOT / "platform" / "run_entry.py")]
         entry.may_end = False
-        entry.process = self._group.start_command(
-            entry.name, entry.command, environment=environment
-        )
+        entry.process = self._group.start_command(entry.name, command, environment=environment)
 
     async def start_target(self, target: Part) -> None:
         """Start a target's process under a new identity and register it."""
         target.restarts += 1
         identity = f"{target.name}r{target.restarts}"
-        arguments = [str(target.address), identity, str(self.run_log)]
+        arguments = [str(target.link.upstream), identity, str(self.run_log)]
         target.process = self._group.start_module(target.name, "testing.soak.target", *arguments)
-        target.process.wait_ready(target.address)
+        target.process.wait_ready(target.link.upstream)
         await self.register(target, state="ready")
 
     async def register(self, target: Part, *, state: str) -> None:
@@ -143,13 +143,13 @@
     async def publish_routes(self) -> None:
         """Write the next version of the routes."""
         self._version += 3
-        self._timeout_s = 2.0 + 0.1 * (self._version % 5)
+        timeout_s = 2.0 + 0.1 * (self._version % 5)
         routes = {
             f"r-{kind}": {
                 "host": HOST,
                 "prefix": PREFIXES[kind],
                 "kind": "idempotent" if kind else "non_idempotent",
-                "timeoutS": self._timeout_s,
+                "timeoutS": timeout_s,
                 "targetLatencyS": 0.3,
                 "service": "soak",
                 "maxAttempts": 2,
