Let the retry budget save a retry for each slot of a target

Cause: the budget saved one retry at most. A target that dies fails all its requests in flight; with two of them in one entry the second found no credit. Ruled out: a response that was forwarded in part (the caller would see a broken connection, not 502) and a lack of targets (503).

limits.feature has a property that failed first: of three retries right after an idle time, one was granted. The window property now counts the burst.

--- a/src/kingcupusher/_limits/retry.py
+++ b/src/kingcupusher/_limits/retry.py
@@ -10,19 +10,19 @@
 
     In any window the retries are at most ``percent`` of the requests of the window plus
     ``floor_per_s`` for its length, plus the credit saved before it: one second of the floor, but
-    at least one retry.
+    at least ``burst`` retries, since a target that dies fails all its requests at once.
     """
 
     __slots__ = ("_floor_per_ms", "_max_credit", "_per_request", "_credit", "_updated_ms")
 
-    def __init__(self, *, percent: float, floor_per_s: float) -> None:
+    def __init__(self, *, percent: float, floor_per_s: float, burst: int = 1) -> None:
         if percent < 0 or floor_per_s < 0:
             raise LimitsError(
                 f"retry budget of {percent} % and {floor_per_s}/s is negative; use 0 or more"
             )
         self._per_request = percent / 100.0
         self._floor_per_ms = floor_per_s / 1000.0
-        self._max_credit = max(1.0, floor_per_s)
+        self._max_credit = max(float(burst), floor_per_s)
         self._credit = self._max_credit if floor_per_s else 0.0
         self._updated_ms: float | None = None
 
--- a/testing/features/limits.feature
+++ b/testing/features/limits.feature
@@ -3,6 +3,7 @@
   Scenario: Retries do not multiply the load of a failing service
     Then in every window retries stay within the percentage, the floor and the saved credit
     And a retry is granted after the floor has earned it
+    And the requests in flight at one target that dies may all be retried
 
   Scenario: Probes do not overload a target, even when its coordinator changes
     Then in every window all owners together stay within the probe budget
--- a/testing/features/steps/limits_steps.py
+++ b/testing/features/steps/limits_steps.py
@@ -11,7 +11,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from kingcupusher._config import TargetLimits
+from kingcupusher._config import Service, TargetLimits
+from kingcupusher._entry.directory import retry_budget_of
 from kingcupusher._limits import (
     AdmissionQueue,
     ColdStartRamp,
@@ -43,10 +44,11 @@
 @given(
     percent=st.floats(0.0, 100.0),
     floor_per_s=st.floats(0.0, 20.0),
+    burst=st.integers(1, 8),
     events=st.lists(st.tuples(GAPS_MS, st.integers(0, 6), st.integers(0, 3)), max_size=40),
 )
-def retries_bounded(context, percent, floor_per_s, events):
-    budget = RetryBudget(percent=percent, floor_per_s=floor_per_s)
+def retries_bounded(context, percent, floor_per_s, burst, events):
+    budget = RetryBudget(percent=percent, floor_per_s=floor_per_s, burst=burst)
     now_ms = 0.0
     requests_ms, retries_ms = [], []
     for gap_ms, requests, attempts in events:
@@ -59,7 +61,7 @@
     def allowed(start_ms, end_ms):
         requests = bisect_right(requests_ms, end_ms) - bisect_left(requests_ms, start_ms)
         earned = percent / 100.0 * requests
-        return earned + floor_per_s * (end_ms - start_ms) / 1000.0 + max(1.0, floor_per_s)
+        return earned + floor_per_s * (end_ms - start_ms) / 1000.0 + max(burst, floor_per_s)
 
     assert_windows(retries_ms, allowed=allowed)
 
@@ -74,6 +76,17 @@
     assert budget.try_spend(now_ms=1000.0 / floor_per_s + ROUNDING)
 
 
+@then("the requests in flight at one target that dies may all be retried")
+@PROPERTY
+@given(slots=st.integers(1, 50), idle_ms=st.floats(0.0, 1e6))
+def retries_cover_one_target(context, slots, idle_ms):
+    # Guards against a budget that grants one retry when a target with several requests dies.
+    service = Service(name="s", team="t", hosts=["s.example"], target=TargetLimits(slots=slots))
+    budget = retry_budget_of(service)
+    granted = [budget.try_spend(now_ms=idle_ms) for _ in range(slots)]
+    assert all(granted), granted
+
+
 @then("in every window all owners together stay within the probe budget")
 @PROPERTY
 @given(
