--- a/testing/features/steps/membership_property_steps.py
+++ b/testing/features/steps/membership_property_steps.py
@@ -10,7 +10,7 @@
 from hypothesis import given as given_examples
 from hypothesis import strategies as st
 
-from testing.fleet import World
+from testing.membership_fleet import World
 
 WARM_UP_MS = 9_000
 TAIL_MS = 12_000
--- /dev/null
+++ b/testing/membership_fleet/entry.py
@@ -0,0 +1,274 @@
+"""A simulated entry around the product's membership objects."""
+
+# ruff: noqa: D102, ARG002
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from math import inf
+
+from kingcupusher._config import ConfigDocument
+from kingcupusher._limits import ColdStartRamp, ProbeBudget
+from kingcupusher._membership import EntryId, Membership, TargetState
+from kingcupusher._peers.messages import ConfigReply, ConfigRequest
+from testing.membership_fleet.model import CALL_DEADLINE_MS, LEASE_MS, SLOTS
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    """Work that an entry sent to a target."""
+
+    entry: Entry
+    sent_at: float
+    sent_ms: float
+
+
+class Entry:
+    """Driver of one membership object, as the entry process drives it."""
+
+    def __init__(self, world, seat, boot_id):
+        self.world = world
+        self.identity = EntryId(seat, boot_id)
+        self.offset = world.random.uniform(0, 1e6)
+        self.is_alive = True
+        self.is_frozen = False
+        self.deferred = []
+        self.lease_id = None
+        self.acquired_at = {}
+        self.contact_at = -inf
+        # Entries that were registered when this one read the store.
+        self.known = set()
+        self.registered = set()
+        self.config = ConfigDocument()
+        self.config_at = -inf
+        self.in_flight = dict.fromkeys(world.targets, 0)
+        self.closed_at = dict.fromkeys(world.targets, -inf)
+        self.states = dict.fromkeys(world.targets, TargetState.UNKNOWN)
+        self.busy = set(world.targets)
+        self.paused_until = {}
+        self.membership = Membership(
+            seat=seat, boot_id=boot_id, ramp_factory=ColdStartRamp, budget_factory=ProbeBudget
+        )
+        self.every(50, self.tick)
+        self.every(400, self.read_platform)
+        self.every(2_000, self.renew)
+        self.every(2_000, self.read_vms)
+        self.every(250, self.probe)
+        self.every(60, self.send_work)
+        self.renew()
+        self.read_vms()
+
+    @property
+    def now(self):
+        return self.world.now + self.offset
+
+    @property
+    def runs(self):
+        return self.is_alive and not self.is_frozen
+
+    def do(self, action, *arguments):
+        """Run an action now, or on resume; a killed entry runs nothing."""
+        if self.is_frozen:
+            self.deferred.append((action, arguments))
+        elif self.is_alive:
+            action(*arguments)
+            self.after_action()
+
+    def after_action(self):
+        for target_id, before in self.states.items():
+            state = self.membership.table.state_of(target_id)
+            if state is TargetState.COLD and state is not before:
+                self.closed_at[target_id] = self.world.now
+            self.states[target_id] = state
+        for outgoing in self.membership.take_outgoing():
+            self.world.network.send(self, outgoing)
+
+    def every(self, period, action):
+        def run():
+            self.do(action)
+            if self.is_alive:
+                self.world.later(period, run)
+
+        self.world.later(self.world.random.uniform(0, period), run)
+
+    def resume(self):
+        self.is_frozen = False
+        deferred, self.deferred = self.deferred, []
+        # A timer that fired several times runs once, but requests come between old messages.
+        seen = set()
+        for action, arguments in deferred:
+            is_repeated = not arguments and action in seen
+            if action == self.send_work or not is_repeated:
+                seen.add(action)
+                self.do(action, *arguments)
+
+    # -- platform
+
+    def call(self, operation, on_result):
+        sent = self.now
+        is_settled = [False]
+
+        def settle(result, has_failed):
+            if not is_settled[0]:
+                is_settled[0] = True
+                self.do(self.on_call_end, on_result, result, sent, has_failed)
+
+        def respond(result):
+            if self.world.reaches_store(self):
+                settle(result, False)
+
+        def take_effect():
+            if self.world.reaches_store(self):
+                self.world.later(self.world.random.randint(1, 5), respond, operation())
+
+        self.world.later(self.world.random.randint(1, 5), take_effect)
+        self.world.later(CALL_DEADLINE_MS, settle, None, True)
+
+    def on_call_end(self, on_result, result, sent, has_failed):
+        if has_failed or self.now > sent + CALL_DEADLINE_MS:
+            self.membership.on_platform_failure(now_ms=self.now)
+        else:
+            self.contact_at = self.world.now
+            on_result(result, sent)
+
+    def read_platform(self):
+        self.call(self.world.store.read, self.on_read)
+
+    def on_read(self, result, sent):
+        members, groups, config = result
+        self.on_config(config)
+        self.registered = {EntryId(seat, boot) for seat, (boot, _) in members.items()}
+        self.known |= self.registered
+        self.membership.on_members({s: boot for s, (boot, _) in members.items()}, now_ms=self.now)
+        self.membership.on_platform_read(sent_ms=sent, now_ms=self.now)
+        for group in self.world.groups:
+            boot_id, _, term = groups.get(group, (None, None, None))
+            if boot_id == self.identity.boot_id and group not in self.acquired_at:
+                self.on_acquired(group, term)
+            elif boot_id != self.identity.boot_id and sent > self.acquired_at.get(group, inf):
+                del self.acquired_at[group]
+                self.membership.on_group_lost(group, now_ms=self.now)
+            elif boot_id is None and self.lease_id is not None:
+                self.acquire(group)
+
+    def on_config(self, config):
+        if config.version >= self.config.version:
+            if config is not self.config:
+                self.config_at = self.world.now
+            self.config = config
+            self.membership.on_config(config, now_ms=self.now)
+
+    def acquire(self, group):
+        lease_id, store = self.lease_id, self.world.store
+
+        def on_result(term, _sent):
+            if term is not None and self.lease_id == lease_id:
+                self.on_acquired(group, term)
+
+        boot_id = self.identity.boot_id
+        self.call(lambda: store.acquire(group, boot_id, lease_id), on_result)
+
+    def on_acquired(self, group, term):
+        if group not in self.acquired_at:
+            self.acquired_at[group] = self.now
+            self.membership.on_group_acquired(group, term=term, now_ms=self.now)
+
+    def renew(self):
+        lease_id, store = self.lease_id, self.world.store
+        if lease_id is None:
+            seat, boot_id = self.identity.seat, self.identity.boot_id
+            self.call(lambda: store.register(seat, boot_id), self.on_registered)
+        else:
+            self.call(lambda: store.renew(lease_id), self.on_renewed)
+
+    def on_registered(self, lease_id, sent):
+        if lease_id is not None:
+            self.lease_id = lease_id
+            self.membership.on_lease(until_ms=sent + LEASE_MS, now_ms=self.now)
+
+    def on_renewed(self, is_renewed, sent):
+        if is_renewed:
+            self.membership.on_lease(until_ms=sent + LEASE_MS, now_ms=self.now)
+        else:
+            self.lease_id = None
+            self.acquired_at.clear()
+            self.membership.on_lease_lost(now_ms=self.now)
+
+    def read_vms(self):
+        if self.world.reaches_store(self):
+            vms = self.world.list_vms()
+            for vm in vms:
+                if vm.state == "leaving":
+                    self.world.note_sign(self.world.targets[vm.vm_id], self)
+            self.membership.on_vm_list(vms, now_ms=self.now)
+
+    # -- peers
+
+    def on_connected(self, identity):
+        self.membership.on_peer_connected(identity, now_ms=self.now)
+
+    def on_message(self, sender, message):
+        if isinstance(message, ConfigRequest):
+            reply = ConfigReply(self.config.version, b"")
+            self.world.network.send_to(self, sender, reply)
+        elif isinstance(message, ConfigReply):
+            if message.version > self.config.version:
+                self.on_config(self.world.store.versions[message.version])
+        else:
+            self.membership.on_message(sender.identity, message, now_ms=self.now)
+
+    # -- targets
+
+    def tick(self):
+        self.membership.tick(now_ms=self.now)
+        self.world.check_coordinators()
+
+    def send_work(self):
+        random = self.world.random
+        for target in self.world.targets.values():
+            if self.world.now < self.paused_until.get(target.target_id, 0):
+                continue
+            if random.random() < self.world.pace:
+                self.busy ^= {target.target_id}
+            if target.target_id in self.busy and random.random() < 0.6:
+                self.send_request(target)
+
+    def send_request(self, target):
+        right = self.membership.table.send_right(target.target_id, now_ms=self.now)
+        allowance = SLOTS if right.allowance is None else right.allowance
+        if right.is_valid(now_ms=self.now) and self.in_flight[target.target_id] < allowance:
+            self.in_flight[target.target_id] += 1
+            request = Request(self, self.world.now, self.now)
+            self.world.check_send(self, target, right.kind)
+            target.serve(request)
+
+    def on_response(self, target, request, report):
+        self.do(self.respond, target, request, report, self.membership.table.on_response)
+
+    def on_refusal(self, target, request, report):
+        self.do(self.respond, target, request, report, self.membership.table.on_refusal)
+
+    def respond(self, target, request, report, handler):
+        self.in_flight[target.target_id] -= 1
+        if report.state == "draining" and report.boot_id == str(target.boot):
+            self.world.note_sign(target, self)
+        handler(target.target_id, report, sent_ms=request.sent_ms, now_ms=self.now)
+
+    def on_reset(self, target, request):
+        self.do(self.reset, target, request)
+
+    def reset(self, target, request):
+        self.in_flight[target.target_id] -= 1
+        self.membership.table.on_reset(target.target_id, sent_ms=request.sent_ms, now_ms=self.now)
+
+    def probe(self):
+        for probe in self.membership.table.take_probes(now_ms=self.now):
+            if self.now < probe.until_ms:
+                target = self.world.targets[probe.target_id]
+                self.world.check_probe(target)
+                self.world.later(10, self.do, self.on_probe, target, target.report(), self.now)
+
+    def on_probe(self, target, report, sent):
+        self.membership.table.on_probe_response(
+            target.target_id, report, sent_ms=sent, now_ms=self.now
+        )
