--- /dev/null
+++ b/standins/control_client.py
@@ -0,0 +1,42 @@
+"""Calls to the control port of a stand-in."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from kingcupusher._core import now_ms
+from kingcupusher._core.address import Address
+from kingcupusher._http.errors import HttpError
+from kingcupusher._http.exchange import fetch
+from standins.errors import StandinError
+
+TIMEOUT_MS = 10_000.0
+
+
+class ControlError(StandinError):
+    """Raised when the control port of a stand-in did not answer as expected."""
+
+
+class ControlClient:
+    """Base of the clients of control ports; bodies are JSON."""
+
+    __slots__ = ("address",)
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+
+    async def _call(self, method: str, path: str, content: Any = None) -> bytes:
+        """Return the body of a response of status 200; raise :class:`ControlError` otherwise."""
+        body = b"" if content is None else msgspec.json.encode(content)
+        deadline_ms = now_ms() + TIMEOUT_MS
+        try:
+            response = await fetch(self.address, method, path, deadline_ms=deadline_ms, body=body)
+        except HttpError as error:
+            raise ControlError(f"control port {self.address} failed: {error}") from error
+        if response.status != 200:
+            text = response.body.decode("utf-8", "replace").strip()
+            reason = f"{method} {path} gave status {response.status}: {text}"
+            raise ControlError(f"control port {self.address}: {reason}")
+        return response.body
