--- a/src/kingcupusher/_core/startup.py
+++ b/src/kingcupusher/_core/startup.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import signal
 import socket
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -12,10 +13,13 @@
 
 @contextmanager
 def loading() -> Iterator[None]:
-    """Pause garbage collection while modules are loaded, and exempt what they made from it.
+    """Prepare the process for loading its modules, and undo what only loading needs.
 
-    Collections find nothing to free in new modules and take a third of the loading time.
+    Garbage collection pauses, since it finds nothing to free in new modules and takes a third of
+    the loading time. A reload that is asked for meanwhile is ignored instead of ending the process;
+    settings that are read inside are read after that.
     """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     gc.disable()
     try:
         yield
--- a/src/kingcupusher/_discovery/catalog.py
+++ b/src/kingcupusher/_discovery/catalog.py
@@ -182,7 +182,7 @@
             "target added",
             target=record.target_id,
             service=record.service,
-            zone=record.zone,
+            target_zone=record.zone,
             cold_left_ms=record.cold_left_ms,
         )
 
@@ -204,14 +204,14 @@
         assert isinstance(change, ZoneTakenOut)
         if change.zone not in self.zones_out:
             self.zones_out.add(change.zone)
-            self._tell("zone taken out", zone=change.zone)
+            self._tell("zone taken out", ordered_zone=change.zone)
 
     @_HANDLERS.register("ZoneReturned")
     def _on_zone_in(self, change: Change, now_ms: float) -> None:  # noqa: ARG002
         assert isinstance(change, ZoneReturned)
         if change.zone in self.zones_out:
             self.zones_out.discard(change.zone)
-            self._tell("zone returned", zone=change.zone)
+            self._tell("zone returned", ordered_zone=change.zone)
 
     @_HANDLERS.register("ReaderSeen")
     def _on_reader(self, change: Change, now_ms: float) -> None:  # noqa: ARG002
--- a/testing/features/discovery.feature
+++ b/testing/features/discovery.feature
@@ -3,6 +3,9 @@
   Scenario: Published routes never go back
     Then for every order of publications the highest version is in force
 
+  Scenario: Orders on zones are logged beside the zone of the entry
+    Then what the catalog tells of an order and of a target hides no field of the entry
+
   Scenario: The longest prefix of the host decides
     Then for every set of prefixes the route with the longest one that fits is chosen
 
--- a/testing/features/start.feature
+++ b/testing/features/start.feature
@@ -13,6 +13,11 @@
   Scenario: Garbage collection pauses only while modules are loaded
     Then a load that fails leaves garbage collection on
 
+  Scenario: A reload that is asked for while an entry loads does not end it
+    Given the settings of an entry whose store is away
+    When the entry is started and asked to reload as soon as it takes connections
+    Then it lives on and ends with status 0 when asked to
+
   Scenario: An address that is in use is named
     Given the settings of an entry whose address is in use
     When the entry is started
--- a/testing/features/steps/discovery_steps.py
+++ b/testing/features/steps/discovery_steps.py
@@ -55,6 +55,18 @@
     check_property(context, prop, versions=st.lists(st.integers(1, 9), min_size=1, max_size=8))
 
 
+@then("what the catalog tells of an order and of a target hides no field of the entry")
+def fields_apart(context):
+    # Guards against a log line in which the zone of an order stands where that of the entry should.
+    told = {}
+    catalog = Catalog()
+    catalog.listeners.append(told.__setitem__)
+    changes = [TargetSeen(target_record()), ZoneTakenOut("b"), ZoneReturned("b"), TargetGone("t0")]
+    catalog.apply(changes, now_ms=0.0)
+    assert told["zone taken out"] == told["zone returned"] == {"ordered_zone": "b"}, told
+    assert not {"time", "event", "entry", "zone"} & {name for f in told.values() for name in f}
+
+
 @then("for every set of prefixes the route with the longest one that fits is chosen")
 def longest_prefix(context):
     def prop(prefixes, path):
--- a/testing/features/steps/start_steps.py
+++ b/testing/features/steps/start_steps.py
@@ -5,24 +5,31 @@
 import gc
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
 import tempfile
+import time
 from pathlib import Path
 
 import curio
 from behave import given, then, when
 
+from kingcupusher._core import now_ms
 from kingcupusher._core.address import Address
 from kingcupusher._core.startup import listen, loading
 from kingcupusher._http.pipeline import PipelineLimits
 from kingcupusher._http.pipeline_listener import PipelineListener
+from testing.gateway.fleet import free_address
 
 ROOT = Path(__file__).resolve().parents[3]
 LOOPBACK = Address("127.0.0.1", 0)
 BACKLOG = 8
 TIMEOUT_S = 20.0
+POLL_S = 0.005
+LOAD_S = 2.0
+COMMAND = [sys.executable, str(ROOT / "platform" / "run_entry.py")]
 REQUEST = b"GET / HTTP/1.1\r\nhost: h.example\r\n\r\n"
 REQUEST_PATH_LIBRARIES = {"curio", "h11", "websockets", "cbor2", "asyncio"}
 LIST_MODULES = """\
@@ -76,6 +83,7 @@
 
 @then("a load that fails leaves garbage collection on")
 def then_collecting(context):
+    context.add_cleanup(signal.signal, signal.SIGHUP, signal.getsignal(signal.SIGHUP))
     try:
         with loading():
             assert not gc.isenabled()
@@ -85,33 +93,63 @@
     assert gc.isenabled()
 
 
-@given("the settings of an entry whose address is in use")
-def given_used_address(context):
-    taken = listen(LOOPBACK, backlog=BACKLOG)
-    context.add_cleanup(taken.close)
-    host, port = taken.getsockname()
-    context.address = f"{host}:{port}"
+def _write_settings(context, address):
+    """Write a settings file with ``address`` for callers and free ports for the rest."""
     directory = tempfile.TemporaryDirectory()
     context.add_cleanup(directory.cleanup)
     context.settings = Path(directory.name) / "boot.toml"
+    metrics = free_address()
     rows = {
-        "frontend": context.address,
-        "readiness": "127.0.0.1:1",
-        "controlPlane": "127.0.0.1:2",
+        "frontend": str(address),
+        "readiness": str(free_address()),
+        "controlPlane": str(free_address()),
     }
-    lines = ['nodeName = "e1"', 'zone = "a"', 'ipAddress = "127.0.0.1"']
-    lines += ["internalPortRange = [1, 2]", "[listenAddresses]"]
+    lines = ['nodeName = "e1"', 'zone = "a"', f'ipAddress = "{metrics.host}"']
+    lines += [f"internalPortRange = [{metrics.port}, {metrics.port}]", "[listenAddresses]"]
     lines += [f"{name} = {json.dumps(value)}" for name, value in rows.items()]
     lines += ["[platform]", 'address = "127.0.0.1:3"']
     context.settings.write_text("\n".join(lines), encoding="utf-8")
+    context.environment = os.environ | {"KINGCUPUSHER_SETTINGS": str(context.settings)}
+
+
+@given("the settings of an entry whose store is away")
+def given_settings(context):
+    context.address = free_address()
+    _write_settings(context, context.address)
+
+
+@when("the entry is started and asked to reload as soon as it takes connections")
+def when_reloaded_early(context):
+    process = subprocess.Popen(COMMAND, env=context.environment, stdout=subprocess.DEVNULL)
+    context.add_cleanup(process.kill)
+    end_ms = now_ms() + TIMEOUT_S * 1000.0
+    while socket.socket().connect_ex(context.address) and now_ms() < end_ms:
+        time.sleep(POLL_S)
+    process.send_signal(signal.SIGHUP)
+    time.sleep(LOAD_S)
+    context.process = process
+
+
+@then("it lives on and ends with status 0 when asked to")
+def then_lives(context):
+    # Guards against the default action of SIGHUP, which ends a process that has no handler yet.
+    assert context.process.poll() is None, context.process.returncode
+    context.process.terminate()
+    assert context.process.wait(TIMEOUT_S) == 0, context.process.returncode
+
+
+@given("the settings of an entry whose address is in use")
+def given_used_address(context):
+    taken = listen(LOOPBACK, backlog=BACKLOG)
+    context.add_cleanup(taken.close)
+    context.address = Address(*taken.getsockname())
+    _write_settings(context, context.address)
 
 
 @when("the entry is started")
 def when_started(context):
-    environment = os.environ | {"KINGCUPUSHER_SETTINGS": str(context.settings)}
-    command = [sys.executable, str(ROOT / "platform" / "run_entry.py")]
     context.result = subprocess.run(
-        command, env=environment, timeout=TIMEOUT_S, capture_output=True, text=True
+        COMMAND, env=context.environment, timeout=TIMEOUT_S, capture_output=True, text=True
     )
 
 
