--- a/src/kingcupusher/_core/startup.py
+++ b/src/kingcupusher/_core/startup.py
@@ -15,9 +15,9 @@
 def loading() -> Iterator[None]:
     """Prepare the process for loading its modules, and undo what only loading needs.
 
-    Garbage collection pauses, since it finds nothing to free in new modules and takes a third of
-    the loading time. A reload that is asked for meanwhile is ignored instead of ending the process;
-    settings that are read inside are read after that.
+    Garbage collection pauses, since it finds nothing to free in new modules. A reload that is
+    asked for meanwhile is ignored instead of ending the process; settings that are read inside are
+    read after that.
     """
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     gc.disable()
