Log the request rate that a target states, with its changes

Cause: the limit of a target was neither read nor logged, so that three hypotheses on its excess could not be told apart. Requests are chosen as before. Lint and types pass.

--- a/src/kingcupusher/_gateway/load_probe.py
+++ b/src/kingcupusher/_gateway/load_probe.py
@@ -154,6 +154,7 @@
             parsed = self._header_codec.parse_probe_response(response, now_ms=now_ms())
             is_target = parsed is not None and parsed.target_id == client.target.target_id
             if parsed is not None and is_target and connection.is_complete():
+                self._clients.record_rate_limit(client, parsed.reading.max_requests_per_s)
                 probed = ProbedTarget(client, connection, parsed.reading)
         finally:
             if probed is None:
--- a/src/kingcupusher/_gateway/process.py
+++ b/src/kingcupusher/_gateway/process.py
@@ -22,7 +22,7 @@
 from kingcupusher._http.simple_client import Response
 from kingcupusher._http.simple_server import Request, serve
 from kingcupusher._observe.events import EventLog
-from kingcupusher._observe.metrics_registry import Labels, labels
+from kingcupusher._observe.metrics_registry import Labels
 from kingcupusher._observe.runtime_log import log_runtime_messages
 from kingcupusher._relay import ReaderSlot, ReaderSlotStore, RelayServer, Subscriptions
 
@@ -109,10 +109,13 @@
             address=settings.relay_address,
             link_mbps=settings.link_mbps,
             rng=Random(),
-            on_event=self._on_event,
+            on_event=self._gateway.on_event,
         )
         self._follower = StoreFollower(
-            store, catalog, is_reader=lambda: self._reader_slot.is_held, on_event=self._on_event
+            store,
+            catalog,
+            is_reader=lambda: self._reader_slot.is_held,
+            on_event=self._gateway.on_event,
         )
         self._relay = RelayServer(
             settings.relay_address, self._follower, catalog, entry=settings.entry
@@ -123,7 +126,7 @@
             entry=settings.entry,
             zone=settings.zone,
             seeds=settings.seeds,
-            on_event=self._on_event,
+            on_event=self._gateway.on_event,
         )
         self._listener: PipelineListener | None = None
         catalog.listeners.append(self._on_catalog_event)
@@ -221,9 +224,4 @@
             self._limits.max_body_bytes = limits.max_body_bytes
             self._limits.head_timeout_ms = limits.head_timeout_ms
             self._limits.idle_timeout_ms = limits.idle_timeout_ms
-        self._on_event(event, **fields)
-
-    def _on_event(self, event: str, **fields: object) -> None:
-        """Log an event and count it in the metrics."""
-        self._gateway.metrics.count("events_total", labels(event=event))
-        self._log.event(event, **fields)
+        self._gateway.on_event(event, **fields)
--- a/src/kingcupusher/_gateway/request_log.py
+++ b/src/kingcupusher/_gateway/request_log.py
@@ -69,6 +69,7 @@
             waiting=reading.waiting,
             slowness_percent=reading.slowness_percent,
             cold_left_ms=round(reading.cold_left_ms),
+            max_requests_per_s=reading.max_requests_per_s,
         )
 
     def record_end(
--- a/src/kingcupusher/_gateway/state.py
+++ b/src/kingcupusher/_gateway/state.py
@@ -43,7 +43,9 @@
         self.header_codec = header_codec
         self.log = log
         self.metrics = Metrics()
-        self.target_clients = TargetClients(catalog, connection_limit=settings.connection_limit)
+        self.target_clients = TargetClients(
+            catalog, connection_limit=settings.connection_limit, on_event=self.on_event
+        )
         self.prober = LoadProber(self.target_clients, header_codec)
         self.selector = TargetSelector(
             catalog,
@@ -59,6 +61,11 @@
         self._response_times: dict[str, ResponseTimeEstimate] = {}
         self.is_stopping = False
 
+    def on_event(self, event: str, **fields: object) -> None:
+        """Log an event and count it in the metrics."""
+        self.metrics.count("events_total", labels(event=event))
+        self.log.event(event, **fields)
+
     def retry_budget(self, service: str) -> WindowedRetryBudget:
         """Return the retry budget of ``service``."""
         budget = self._retry_budgets.get(service)
@@ -100,6 +107,8 @@
             known = sum(t.record.service == service for t in catalog.targets.values())
             values["targets", labels(service=service, usable="yes")] = usable
             values["targets", labels(service=service, usable="no")] = known - usable
+            limited = self.target_clients.rate_limited_count(service)
+            values["targets_rate_limited", labels(service=service)] = limited
             remaining = self.retry_budget(service).remaining(slack=slack, now_ms=now_ms)
             values["repeats_left", labels(service=service)] = remaining
         return values
--- a/src/kingcupusher/_gateway/target_clients.py
+++ b/src/kingcupusher/_gateway/target_clients.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from kingcupusher._discovery import Catalog, Target
 from kingcupusher._http.buffered import BufferedResponse
 from kingcupusher._http.pool import ConnectionPool
@@ -28,6 +30,7 @@
         "_connection_limit",
         "probe_tokens",
         "cold_start_window",
+        "max_requests_per_s",
         "pool",
         "suspended_until_ms",
         "target",
@@ -39,6 +42,7 @@
         self.pool = ConnectionPool(target.record.address, limit=limit, max_idle_ms=DEFAULT_IDLE_MS)
         self.cold_start_window = ColdStartWindow()
         self.probe_tokens = TokenBucket(per_s=0.0, burst=INITIAL_PROBE_TOKENS, now_ms=0.0)
+        self.max_requests_per_s: float | None = None
         self.suspended_until_ms = 0.0
         self._failures = 0.0
         self._last_failure_ms = 0.0
@@ -72,10 +76,13 @@
 class TargetClients:
     """Clients of all targets; a target that restarts gets a new one."""
 
-    __slots__ = ("_catalog", "_connection_limit", "_clients", "_retired")
+    __slots__ = ("_catalog", "_connection_limit", "_clients", "_on_event", "_retired")
 
-    def __init__(self, catalog: Catalog, *, connection_limit: int) -> None:
+    def __init__(
+        self, catalog: Catalog, *, connection_limit: int, on_event: Callable[..., None]
+    ) -> None:
         self._catalog = catalog
+        self._on_event = on_event
         self._connection_limit = connection_limit
         self._clients: dict[str, TargetClient] = {}
         self._retired: list[TargetClient] = []
@@ -91,6 +98,27 @@
         self._clients[target.target_id] = client
         return client
 
+    def record_rate_limit(self, client: TargetClient, max_requests_per_s: float | None) -> None:
+        """Record the request rate that the target states in its latest load reading."""
+        before = client.max_requests_per_s
+        if max_requests_per_s == before:
+            return
+        client.max_requests_per_s = max_requests_per_s
+        self._on_event(
+            "target rate limit",
+            target=client.target.target_id,
+            service=client.target.record.service,
+            max_requests_per_s=max_requests_per_s,
+            before=before,
+        )
+
+    def rate_limited_count(self, service: str) -> int:
+        """Return how many known targets of ``service`` state a request rate."""
+        return sum(
+            client.max_requests_per_s is not None and client.target.record.service == service
+            for client in self._clients.values()
+        )
+
     async def close_unused(self) -> None:
         """Close the connections to removed targets, and those that were idle for too long."""
         known = self._catalog.targets
--- a/src/kingcupusher/_routing/load_reading.py
+++ b/src/kingcupusher/_routing/load_reading.py
@@ -15,6 +15,8 @@
 
     ``slowness_percent`` is the processing time relative to the usual one, which is 100; targets
     share machines, so it changes many times a second. ``cold_left_ms`` is 0 for a warm target.
+    ``max_requests_per_s`` is the rate that the target accepts from all entries together, None
+    if it states none.
     """
 
     running: int
@@ -24,6 +26,7 @@
     cold_left_ms: float
     is_healthy: bool
     read_ms: float
+    max_requests_per_s: float | None = None
 
     @property
     def is_cold(self) -> bool:
