Keep the request rate that a target states in sum over all entries

What callers saw: no error; but targets that had asked for less got more than they had asked for, up to 30 requests in 4 s where their rate allowed 13 to 18, and worked for callers that others could serve.

Cause: no entry read the rate. A target in need looks idle, so the choice by load preferred it. Class: a limit for all entries together that is not known or not divided.

Change: RequestQuotas counts a request when its target is chosen, in a window of 4 s (longer for rates below 0.25 a second), against this entry's share of the rate; shares follow the entry's rank for the target and add up to the rate. Requests before the rate was stated count too. Cold targets use the same code, and a claim that is not sent is undone. If no share opens within the wait of a request, it is refused at once.

Why it works: each request follows a load probe, which has the current rate, and shares of entries with the same list of entries cannot exceed it in any window.

--- a/src/kingcupusher/_gateway/exchange.py
+++ b/src/kingcupusher/_gateway/exchange.py
@@ -16,6 +16,7 @@
     NO_ROUTES_YET,
     NO_TARGET,
     SHUTTING_DOWN,
+    TARGETS_EXHAUSTED,
     TIMED_OUT,
     TIMED_OUT_BEFORE_SEND,
     ErrorResponse,
@@ -48,6 +49,7 @@
         "_gateway",
         "_log",
         "_in_flight",
+        "_refusal",
         "_request_id",
         "_route",
         "_possibly_executed_by",
@@ -69,6 +71,7 @@
         self._attempts: list[Attempt] = []
         self._in_flight = ConcurrentAttempts()
         self._fallback_response: BufferedResponse | None = None
+        self._refusal = NO_TARGET
 
     @property
     def _may_have_executed(self) -> bool:
@@ -191,7 +194,10 @@
         await self._start_attempt(probed)
 
     async def _find_target(self) -> ProbedTarget | None:
-        """Return an acceptable target; after a limited wait, also one of fair cost."""
+        """Return an acceptable target; after a limited wait, also one of fair cost.
+
+        There is no wait if the request rates that the targets state leave no room in time.
+        """
         assert self._route is not None and self._service is not None
         wait_queue = self._gateway.wait_queue(self._service.name)
         criteria = AcceptanceCriteria(
@@ -204,6 +210,12 @@
             probed = await self._probe(criteria)
             if probed is not None:
                 return probed
+        opening_ms = self._gateway.selector.quotas.next_opening_ms(
+            self._service, exclude=self._tried_targets, position=len(wait_queue)
+        )
+        if opening_ms > criteria.wait_until_ms:
+            self._refusal = TARGETS_EXHAUSTED
+            return None
         waiting_request = WaitingRequest(
             criteria,
             exclude=self._tried_targets,
@@ -225,9 +237,9 @@
         results = await selector.probe_targets(
             self._service, exclude=self._tried_targets, deadline_ms=self._deadline_ms
         )
-        best = results.usable[0] if results.usable else None
-        if best and criteria and not selector.is_acceptable(best, criteria, is_last=is_last):
-            best = None
+        best = selector.claim_first(
+            results.usable, self._service, criteria=criteria, is_last=is_last
+        )
         self._log.record_choice(results, best)
         await selector.release([probed for probed in results.usable if probed is not best])
         return best
@@ -288,7 +300,7 @@
     def _final_response(self) -> BufferedResponse | ErrorResponse:
         if self._fallback_response is not None:
             return self._fallback_response
-        return INCOMPLETE_RESPONSE if self._may_have_executed else NO_TARGET
+        return INCOMPLETE_RESPONSE if self._may_have_executed else self._refusal
 
     async def _deliver(self, response: BufferedResponse) -> None:
         headers = self._gateway.header_codec.response_headers(response)
--- a/src/kingcupusher/_gateway/load_probe.py
+++ b/src/kingcupusher/_gateway/load_probe.py
@@ -22,9 +22,12 @@
 
 
 class ProbedTarget:
-    """A target that responded to a load probe, and the open connection to it."""
+    """A target that responded to a load probe, and the open connection to it.
 
-    __slots__ = ("connection", "client", "reading")
+    ``is_claimed`` tells that a request to it is counted already.
+    """
+
+    __slots__ = ("connection", "client", "is_claimed", "reading")
 
     def __init__(
         self, client: TargetClient, connection: ClientConnection, reading: LoadReading
@@ -32,6 +35,7 @@
         self.client = client
         self.connection = connection
         self.reading = reading
+        self.is_claimed = False
 
     @property
     def target(self) -> Target:
@@ -154,7 +158,7 @@
             parsed = self._header_codec.parse_probe_response(response, now_ms=now_ms())
             is_target = parsed is not None and parsed.target_id == client.target.target_id
             if parsed is not None and is_target and connection.is_complete():
-                self._clients.record_rate_limit(client, parsed.reading.max_requests_per_s)
+                self._clients.record_rate_limit(client, parsed.reading)
                 probed = ProbedTarget(client, connection, parsed.reading)
         finally:
             if probed is None:
--- /dev/null
+++ b/src/kingcupusher/_gateway/request_quotas.py
@@ -0,0 +1,96 @@
+"""Limits on the requests to one target: its cold start and the request rate that it states."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from math import inf
+
+from kingcupusher._core import now_ms
+from kingcupusher._discovery import Catalog, ServiceConfig
+from kingcupusher._gateway.load_probe import ProbedTarget
+from kingcupusher._gateway.target_clients import TargetClient, TargetClients
+from kingcupusher._limits.send_window import SendQuota
+from kingcupusher._limits.shares import EntryRank
+from kingcupusher._limits.target_quotas import cold_quota, rate_quota
+
+RATE_RECHECK_MS = 1_000.0
+"""A target without room is probed again after this time, as it may state its rate no longer."""
+
+
+class RequestQuotas:
+    """Counts the requests of this entry to each target against its share of the target's limits."""
+
+    __slots__ = ("_catalog", "_clients", "_cold_overshoot", "_entry")
+
+    def __init__(
+        self, catalog: Catalog, clients: TargetClients, *, entry: str, cold_overshoot: float
+    ) -> None:
+        self._catalog = catalog
+        self._clients = clients
+        self._entry = entry
+        self._cold_overshoot = cold_overshoot
+
+    def has_room(self, probed: ProbedTarget, service: ServiceConfig) -> bool:
+        """Return whether one more request stays within the limits in the load reading."""
+        quotas = self._quotas(probed, service)
+        return probed.client.sends.has_room(quotas, now_ms=now_ms())
+
+    def claim(self, probed: ProbedTarget, service: ServiceConfig) -> bool:
+        """Count a request to the target; return False if there is no room for it."""
+        if not self.has_room(probed, service):
+            return False
+        probed.client.sends.add(now_ms=now_ms())
+        probed.is_claimed = True
+        return True
+
+    def refund(self, probed: ProbedTarget) -> None:
+        """Undo :meth:`claim` because the request was not sent."""
+        if probed.is_claimed:
+            probed.is_claimed = False
+            probed.client.sends.remove_newest()
+
+    def is_exhausted(self, client: TargetClient) -> bool:
+        """Return whether a recent load reading states a rate that leaves no room."""
+        current_ms = now_ms()
+        if current_ms - client.rate_limit_read_ms > RATE_RECHECK_MS:
+            return False
+        quota = self._rate_quota(client)
+        return quota is not None and not client.sends.has_room([quota], now_ms=current_ms)
+
+    def next_opening_ms(
+        self, service: ServiceConfig, *, exclude: Collection[str], position: int
+    ) -> float:
+        """Return when the stated rates leave room for the waiting request at ``position``.
+
+        The result is the current time if a target states no rate, or if there are no targets.
+        """
+        current_ms = now_ms()
+        targets = self._catalog.usable_targets(service.name)
+        openings_ms: list[float] = []
+        for target in targets:
+            client = self._clients.get(target)
+            quota = self._rate_quota(client)
+            if quota is None:
+                return current_ms
+            if target.target_id not in exclude:
+                openings_ms += client.sends.openings_ms(quota, now_ms=current_ms)
+        if not targets:
+            return current_ms
+        return sorted(openings_ms)[position] if position < len(openings_ms) else inf
+
+    def _quotas(self, probed: ProbedTarget, service: ServiceConfig) -> list[SendQuota]:
+        quotas = []
+        if probed.reading.is_cold:
+            requests = int(service.cold_requests_per_s * self._cold_overshoot)
+            quotas.append(cold_quota(requests, self._rank(probed.client)))
+        rate = self._rate_quota(probed.client)
+        return quotas if rate is None else [*quotas, rate]
+
+    def _rate_quota(self, client: TargetClient) -> SendQuota | None:
+        if client.max_requests_per_s is None:
+            return None
+        return rate_quota(client.max_requests_per_s, self._rank(client))
+
+    def _rank(self, client: TargetClient) -> EntryRank:
+        entries = self._catalog.live_entries.names(now_ms=now_ms())
+        return client.rank(self._entry, entries=entries)
--- a/src/kingcupusher/_gateway/selector.py
+++ b/src/kingcupusher/_gateway/selector.py
@@ -10,9 +10,9 @@
 from kingcupusher._discovery import Catalog, ServiceConfig, Target
 from kingcupusher._gateway.fleet_limits import FleetLimits
 from kingcupusher._gateway.load_probe import LoadProber, ProbedTarget
+from kingcupusher._gateway.request_quotas import RequestQuotas
 from kingcupusher._gateway.target_clients import TargetClient, TargetClients
 from kingcupusher._limits import connection_share
-from kingcupusher._limits.cold_start import cold_start_share
 from kingcupusher._routing.acceptance import MAX_FAIR_COST, MAX_GOOD_COST, AcceptanceCriteria
 from kingcupusher._routing.selection import PROBE_ORDERS, target_cost
 
@@ -71,7 +71,7 @@
 class TargetSelector:
     """Finds the targets with the lowest expected response time."""
 
-    __slots__ = ("_catalog", "_entry", "_clients", "_rng", "_limits", "_prober", "_zone")
+    __slots__ = ("_catalog", "_entry", "_clients", "_rng", "_limits", "_prober", "_zone", "quotas")
 
     def __init__(
         self,
@@ -91,6 +91,9 @@
         self._zone = zone
         self._limits = fleet_limits
         self._rng = rng
+        self.quotas = RequestQuotas(
+            catalog, clients, entry=entry, cold_overshoot=fleet_limits.cold_overshoot
+        )
 
     async def probe_targets(
         self,
@@ -116,17 +119,19 @@
                 results += await self._prober.probe(
                     batch, health_path=service.health_path, deadline_ms=deadline_ms
                 )
-                lowest_cost = min(map(self.cost, self._filter_usable(results)), default=inf)
+                lowest_cost = min(
+                    map(self.cost, self._filter_usable(service, results)), default=inf
+                )
                 if lowest_cost <= MAX_GOOD_COST:
                     break
         except BaseException:
             await self.release(results)
             raise
-        usable = sorted(self._filter_usable(results), key=self.cost)
+        usable = sorted(self._filter_usable(service, results), key=self.cost)
         if not usable:
-            usable = self._reserve_cold_target(service, results)
+            usable = self._select_cold_target(service, results)
         elif self.cost(usable[0]) > MAX_GOOD_COST:
-            usable = self._reserve_cold_target(service, results, max_cost=MAX_FAIR_COST) + usable
+            usable = self._select_cold_target(service, results, max_cost=MAX_FAIR_COST) + usable
         await self.release([probed for probed in results if probed not in usable])
         return ProbeResults(
             usable,
@@ -136,7 +141,9 @@
         )
 
     async def release(self, results: Collection[ProbedTarget]) -> None:
-        """Release the connections of targets that are not used."""
+        """Release the connections of targets that are not used, and undo their claims."""
+        for probed in results:
+            self.quotas.refund(probed)
         await self._prober.release(results)
 
     def _is_suspended(self, target: Target) -> bool:
@@ -157,6 +164,8 @@
                 probe_burst=max(1.0, probes_per_s * PROBE_BURST_S),
                 connections=connections,
             )
+            if self.quotas.is_exhausted(client):
+                continue
             if client.probe_tokens.has_token(now_ms=current_ms):
                 candidates.append(self._create_candidate(client, current_ms))
         ordered = PROBE_ORDERS.get(PROBE_ORDER).order(
@@ -177,14 +186,17 @@
         total = int(service.max_connections * CONNECTION_SHARE)
         return max(1, connection_share(total, max_entries=entries))
 
-    def _filter_usable(self, results: Sequence[ProbedTarget]) -> list[ProbedTarget]:
-        """Return the warm targets that are not full; unhealthy ones only if there are no others."""
+    def _filter_usable(
+        self, service: ServiceConfig, results: Sequence[ProbedTarget]
+    ) -> list[ProbedTarget]:
+        """Return the warm targets with room; unhealthy ones only if there are no others."""
         warm = [
             probed
             for probed in results
             if not probed.reading.is_cold
             and probed.reading.waiting < MAX_QUEUED
             and self._catalog.may_send(probed.target)
+            and self.quotas.has_room(probed, service)
         ]
         return [probed for probed in warm if probed.reading.is_healthy] or warm
 
@@ -196,28 +208,36 @@
     def is_acceptable(
         self, probed: ProbedTarget, criteria: AcceptanceCriteria, *, is_last: bool = False
     ) -> bool:
-        """Return whether the request accepts the target; a cold one was already reserved for it."""
+        """Return whether the request accepts the target; a cold one is selected for it only."""
         return probed.reading.is_cold or criteria.accepts(self.cost(probed), is_last=is_last)
 
-    def _reserve_cold_target(
+    def claim_first(
+        self,
+        usable: Sequence[ProbedTarget],
+        service: ServiceConfig,
+        *,
+        criteria: AcceptanceCriteria | None,
+        is_last: bool = False,
+    ) -> ProbedTarget | None:
+        """Claim the best target that is acceptable and still has room; None if there is none."""
+        for probed in usable:
+            if criteria and not self.is_acceptable(probed, criteria, is_last=is_last):
+                return None
+            if self.quotas.claim(probed, service):
+                return probed
+        return None
+
+    def _select_cold_target(
         self, service: ServiceConfig, results: Sequence[ProbedTarget], *, max_cost: float = inf
     ) -> list[ProbedTarget]:
-        """Return a cold target that may get one more request of this entry, and count it."""
-        total = int(service.cold_requests_per_s * self._limits.cold_overshoot)
-        names = self._catalog.live_entries.names(now_ms=now_ms())
+        """Return the best cold target that may get one more request of this entry."""
         cold = [
             probed
             for probed in results
             if probed.reading.is_cold
             and probed.reading.is_healthy
             and self.cost(probed) <= max_cost
+            and self._catalog.may_send(probed.target)
+            and self.quotas.has_room(probed, service)
         ]
-        for probed in sorted(cold, key=self.cost):
-            if not self._catalog.may_send(probed.target):
-                continue
-            share = cold_start_share(
-                total, entry=self._entry, entries=names, target_id=probed.target.target_id
-            )
-            if probed.client.cold_start_window.try_send(limit=share, now_ms=now_ms()):
-                return [probed]
-        return []
+        return sorted(cold, key=self.cost)[:1]
--- a/src/kingcupusher/_gateway/target_clients.py
+++ b/src/kingcupusher/_gateway/target_clients.py
@@ -7,8 +7,10 @@
 from kingcupusher._discovery import Catalog, Target
 from kingcupusher._http.buffered import BufferedResponse
 from kingcupusher._http.pool import ConnectionPool
-from kingcupusher._limits.cold_start import ColdStartWindow
+from kingcupusher._limits.send_window import SendWindow
+from kingcupusher._limits.shares import EntryRank
 from kingcupusher._limits.token_bucket import TokenBucket
+from kingcupusher._routing.load_reading import LoadReading
 
 BASE_SUSPENSION_MS = 1_000.0
 MAX_SUSPENSION_MS = 8_000.0
@@ -28,10 +30,13 @@
         "_failures",
         "_last_failure_ms",
         "_connection_limit",
+        "_rank",
+        "_ranked_entries",
         "probe_tokens",
-        "cold_start_window",
         "max_requests_per_s",
         "pool",
+        "rate_limit_read_ms",
+        "sends",
         "suspended_until_ms",
         "target",
     )
@@ -40,12 +45,15 @@
         self.target = target
         self._connection_limit = limit
         self.pool = ConnectionPool(target.record.address, limit=limit, max_idle_ms=DEFAULT_IDLE_MS)
-        self.cold_start_window = ColdStartWindow()
+        self.sends = SendWindow()
         self.probe_tokens = TokenBucket(per_s=0.0, burst=INITIAL_PROBE_TOKENS, now_ms=0.0)
         self.max_requests_per_s: float | None = None
+        self.rate_limit_read_ms = 0.0
         self.suspended_until_ms = 0.0
         self._failures = 0.0
         self._last_failure_ms = 0.0
+        self._ranked_entries: list[str] | None = None
+        self._rank = EntryRank(0, 1)
 
     def set_limits(self, *, probes_per_s: float, probe_burst: float, connections: int) -> None:
         """Set this entry's share of the limits of the target; open connections stay open."""
@@ -60,6 +68,14 @@
             if name.lower() == b"timeout" and seconds.isdigit():
                 self.pool.max_idle_ms = int(seconds) * 1000.0 * KEEP_ALIVE_SHARE
 
+    def rank(self, entry: str, *, entries: list[str]) -> EntryRank:
+        """Return the rank of ``entry`` for this target; it is kept until ``entries`` change."""
+        if entries != self._ranked_entries:
+            target_id = self.target.target_id
+            self._rank = EntryRank.of(entry, entries=entries, target_id=target_id)
+            self._ranked_entries = entries
+        return self._rank
+
     def is_suspended(self, *, now_ms: float) -> bool:
         """Whether the target failed recently, so that others are preferred."""
         return now_ms < self.suspended_until_ms
@@ -98,9 +114,10 @@
         self._clients[target.target_id] = client
         return client
 
-    def record_rate_limit(self, client: TargetClient, max_requests_per_s: float | None) -> None:
+    def record_rate_limit(self, client: TargetClient, reading: LoadReading) -> None:
         """Record the request rate that the target states in its latest load reading."""
-        before = client.max_requests_per_s
+        client.rate_limit_read_ms = reading.read_ms
+        before, max_requests_per_s = client.max_requests_per_s, reading.max_requests_per_s
         if max_requests_per_s == before:
             return
         client.max_requests_per_s = max_requests_per_s
--- a/src/kingcupusher/_gateway/wait_queue.py
+++ b/src/kingcupusher/_gateway/wait_queue.py
@@ -111,10 +111,6 @@
     def _select_for(
         self, waiting: WaitingRequest, available: list[ProbedTarget]
     ) -> ProbedTarget | None:
-        for probed in available:
-            if probed.target.target_id in waiting.exclude:
-                continue
-            if self._selector.is_acceptable(probed, waiting.criteria):
-                return probed
-            return None
-        return None
+        assert self._service is not None
+        allowed = [p for p in available if p.target.target_id not in waiting.exclude]
+        return self._selector.claim_first(allowed, self._service, criteria=waiting.criteria)
--- a/testing/features/fleet_limits.feature
+++ b/testing/features/fleet_limits.feature
@@ -28,3 +28,17 @@
       | 3       | 58    |
       | 15      | 58    |
       | 114     | 182   |
+
+  Scenario Outline: Pattern "a target in need": all entries together keep the request rate that it states
+    When <entries> entries send as much as they may to a target that takes <rate> requests a second, and had sent without a limit before
+    Then no window of 4 s contains more requests than that rate allows
+    And it gets at least <used> of that rate
+
+    Examples:
+      | entries | rate | used |
+      | 3       | 2.5  | 0.9  |
+      | 15      | 1.4  | 0.8  |
+      | 15      | 0.2  | 0.8  |
+      | 114     | 1.4  | 0.8  |
+      | 114     | 60   | 0.9  |
+      | 15      | 0    | 0    |
--- a/testing/features/steps/fleet_limits_steps.py
+++ b/testing/features/steps/fleet_limits_steps.py
@@ -9,7 +9,9 @@
 from hypothesis import strategies as st
 
 from kingcupusher._discovery.live_entries import LiveEntries
-from kingcupusher._limits.cold_start import ColdStartWindow, cold_start_share
+from kingcupusher._limits.send_window import SendWindow
+from kingcupusher._limits.shares import EntryRank
+from kingcupusher._limits.target_quotas import cold_quota, rate_quota
 from kingcupusher._limits.token_bucket import TokenBucket
 from kingcupusher._limits.windowed_retry import WindowedRetryBudget
 from kingcupusher._routing.acceptance import AcceptanceCriteria
@@ -54,8 +56,7 @@
     def prop(count, total, target_id):
         names = [f"e{i}" for i in range(count)]
         shares = [
-            cold_start_share(total, entry=name, entries=names, target_id=target_id)
-            for name in names
+            EntryRank.of(name, entries=names, target_id=target_id).share(total) for name in names
         ]
         assert sum(shares) == total
 
@@ -72,11 +73,12 @@
 @then("no window of an entry contains more requests than its share")
 def cold_window(context):
     def prop(gaps_ms, limit):
-        window = ColdStartWindow()
+        window, quota = SendWindow(), cold_quota(limit, EntryRank(0, 1))
         now_ms, sent_ms = 0.0, []
         for gap_ms in gaps_ms:
             now_ms += gap_ms
-            if window.try_send(limit=limit, now_ms=now_ms):
+            if window.has_room([quota], now_ms=now_ms):
+                window.add(now_ms=now_ms)
                 sent_ms.append(now_ms)
         for start_ms in sent_ms:
             assert _count_between(sent_ms, start_ms, start_ms + 1_000.0) <= limit
@@ -193,3 +195,52 @@
             retries = last + 1 - bisect_right(arrived_ms, end_ms - window_ms)
             requests = bisect_right(sent_ms, end_ms) - bisect_right(sent_ms, end_ms - window_ms)
             assert retries <= ratio * requests + slack, (seed, end_ms, retries, requests)
+
+
+@when(
+    "{entries:d} entries send as much as they may to a target that takes {per_s:g} requests a"
+    " second, and had sent without a limit before"
+)
+def when_rate_limited(context, entries, per_s):
+    context.entries, context.per_s = entries, per_s
+
+
+def _simulate_rate_limited_entry(rng, rank, per_s):
+    """Return when the requests of one entry arrived that the rate allowed, from 4 s on."""
+    window, quota = SendWindow(), rate_quota(per_s, rank)
+    arrived_ms, now_ms = [], 0.0
+    while now_ms < 60_000.0:
+        now_ms += rng.expovariate(1.0 / 100.0)
+        is_limited = now_ms > 4_000.0
+        if not is_limited or window.has_room([quota], now_ms=now_ms):
+            window.add(now_ms=now_ms)
+            if is_limited:
+                arrived_ms.append(now_ms + rng.uniform(0.0, 60.0))
+    return arrived_ms
+
+
+def _simulate_rate_limited_fleet(seed, entries, per_s):
+    rng = Random(seed)
+    names = [f"e{i}" for i in range(entries)]
+    ranks = [EntryRank.of(name, entries=names, target_id=f"t{seed}") for name in names]
+    arrived = [_simulate_rate_limited_entry(rng, rank, per_s) for rank in ranks]
+    return sorted(time_ms for times in arrived for time_ms in times)
+
+
+@then("no window of {window_s:g} s contains more requests than that rate allows")
+def then_rate_kept(context, window_s):
+    # Guards against a target in need that gets its limit from each entry instead of from all.
+    allowed = max(1, int(context.per_s * window_s)) if context.per_s > 0 else 0
+    for seed in range(6):
+        arrived_ms = _simulate_rate_limited_fleet(seed, context.entries, context.per_s)
+        for first, start_ms in enumerate(arrived_ms):
+            end = bisect_left(arrived_ms, start_ms + window_s * 1000.0)
+            assert end - first <= allowed, (seed, start_ms, end - first, allowed)
+
+
+@then("it gets at least {share:g} of that rate")
+def then_rate_used(context, share):
+    # Guards against shares that all round down to nothing.
+    arrived_ms = _simulate_rate_limited_fleet(0, context.entries, context.per_s)
+    used = len(arrived_ms) / 56.0
+    assert used >= share * context.per_s, (used, context.per_s)
--- a/testing/features/steps/users_platform_steps.py
+++ b/testing/features/steps/users_platform_steps.py
@@ -221,6 +221,20 @@
     assert PlatformHeaderCodec().classify(response) is ResponseKind[kind]
 
 
+@then('a load probe response with the rate "{field}" states {rate} requests a second')
+@then('a load probe response with the rate "" states {rate} requests a second')
+def then_rate_decoded(context, rate, field=""):
+    # Guards against a limit that is missed, or that invalid bytes set.
+    del context
+    headers = [(b"x-kingcupusher-instance-id", b"i-1")]
+    if field:
+        headers.append((b"server-limit", field.encode()))
+    probe = PlatformHeaderCodec().parse_probe_response(
+        BufferedResponse(200, b"", headers, b""), now_ms=0.0
+    )
+    assert probe.reading.max_requests_per_s == (None if rate == "no" else float(rate))
+
+
 @then("a forged target and deadline are replaced, and headers named by Connection are dropped")
 def then_headers(context):
     del context
--- a/testing/features/users_platform.feature
+++ b/testing/features/users_platform.feature
@@ -62,5 +62,19 @@
       | 503    | nothing            | INVALID |
       | 200    | signature,not run  | SUCCESS |
 
+  Scenario Outline: The request rate that a target states is decoded
+    Then a load probe response with the rate "<field>" states <rate> requests a second
+
+    Examples:
+      | field | rate |
+      | 1.4   | 1.4  |
+      | 12    | 12   |
+      | 0     | 0    |
+      |       | no   |
+      | -1    | no   |
+      | nan   | no   |
+      | inf   | no   |
+      | 5/s   | no   |
+
   Scenario: Hop-by-hop headers and headers that the entry sets are not forwarded
     Then a forged target and deadline are replaced, and headers named by Connection are dropped
--- a/testing/gateway/plain_header_codec.py
+++ b/testing/gateway/plain_header_codec.py
@@ -51,18 +51,22 @@
         )
 
     def parse_probe_response(self, response, *, now_ms):
-        """Parse ``x-load``: running, waiting, slowness in percent, milliseconds of cold start."""
+        """Parse ``x-load``: running, waiting, slowness in percent, milliseconds of cold start.
+
+        A fifth number is the rate that the target accepts.
+        """
         load = response.header(b"x-load")
         if load is None:
             return None
-        running, waiting, slowness, cold_left_ms = (int(part) for part in load.split(b","))
+        running, waiting, slowness, cold_left_ms, *rate = (float(n) for n in load.split(b","))
         reading = LoadReading(
-            running=running,
-            waiting=waiting,
+            running=int(running),
+            waiting=int(waiting),
             slots=3,
-            slowness_percent=slowness,
-            cold_left_ms=float(cold_left_ms),
+            slowness_percent=int(slowness),
+            cold_left_ms=cold_left_ms,
             is_healthy=response.status == 200,
             read_ms=now_ms,
+            max_requests_per_s=rate[0] if rate else None,
         )
         return ProbeResponse(response.header(b"x-target").decode(), reading)
