Order states of the store by restorations and revision

Cause: entries ordered states by the store's revision alone. A restored store assigns revisions again. A subscriber with revision 35 took a reader's updates at 29 to 33 as old, and the reader's confirmations as a proof that it was current. Class: a number orders or identifies states although its source can go back.

No entry logged a lower version.

A restoration counts as the end of an outage, so that targets that the copy lacks stay usable while they register again. New: event "store restored", gauges store_restorations and store_revision; the soak restores its store at times.

--- a/src/kingcupusher/_discovery/__init__.py
+++ b/src/kingcupusher/_discovery/__init__.py
@@ -30,12 +30,15 @@
     TargetRegistration,
     WeightedService,
 )
+from kingcupusher._discovery.position import NO_POSITION, StorePosition
 
 __all__ = [
+    "NO_POSITION",
     "CallerLimits",
     "Catalog",
     "Change",
     "StoreFollower",
+    "StorePosition",
     "ReaderGone",
     "ReaderSeen",
     "Route",
--- a/src/kingcupusher/_discovery/follower.py
+++ b/src/kingcupusher/_discovery/follower.py
@@ -16,6 +16,7 @@
 from kingcupusher._core import KingcupusherError, now_ms
 from kingcupusher._discovery.catalog import REREGISTRATION_GRACE_MS, Catalog
 from kingcupusher._discovery.changes import Change, StoreReturned
+from kingcupusher._discovery.position import StorePosition
 
 WATCH_WAIT_MS = 1_000.0
 """A reader confirms the state at least this often."""
@@ -41,14 +42,14 @@
 
 
 class HistoryGoneError(ChangeSourceError):
-    """Raised when the store no longer has the history after the given revision."""
+    """Raised when the store no longer has the history after the given position."""
 
 
 class ChangeBatch(Struct, frozen=True):
-    """Changes and the revision up to which they are complete."""
+    """Changes and the position up to which they are complete."""
 
     changes: list[Change]
-    revision: int
+    position: StorePosition
 
 
 class ChangeSource(Protocol):
@@ -61,12 +62,12 @@
         """Return a full state that may be seconds old; raise :class:`ChangeSourceError`."""
 
     async def wait_for_changes(
-        self, *, after_revision: int, wait_ms: float, timeout_ms: float
+        self, *, after: StorePosition, wait_ms: float, timeout_ms: float
     ) -> ChangeBatch:
-        """Return the changes after ``after_revision``, none if the wait ended without any.
+        """Return the changes after ``after``, none if the wait ended without any.
 
-        ``timeout_ms`` counts from the end of the wait. Raises :class:`HistoryGoneError` or
-        another :class:`ChangeSourceError`.
+        ``timeout_ms`` counts from the end of the wait. Raises :class:`HistoryGoneError`, also
+        after a restoration of the store, or another :class:`ChangeSourceError`.
         """
 
 
@@ -74,7 +75,7 @@
     """Changes for another entry; a full snapshot if ``is_full``."""
 
     changes: list[Change]
-    revision: int
+    position: StorePosition
     is_full: bool
 
 
@@ -87,13 +88,14 @@
         "_has_read",
         "_history",
         "_is_reader",
+        "_must_read_all",
         "_on_event",
         "_reregistration_until_ms",
         "_response_timeout_ms",
         "_retry_delay_s",
         "_source",
         "confirmed_ms",
-        "revision",
+        "position",
         "updated",
     )
 
@@ -115,48 +117,51 @@
         self._has_read = False
         self._history: list[ChangeBatch] = []
         self._reregistration_until_ms = 0.0
-        self.revision: int | None = None
+        self._must_read_all = False
+        self.position: StorePosition | None = None
         self.confirmed_ms = 0.0
         self.updated = curio.Event()
 
     async def run(self) -> None:
         """Follow the store until cancelled."""
         while True:
-            if self.revision is not None and not self._must_read(now_ms()):
+            if self.position is not None and not self._must_read(now_ms()):
                 await curio.sleep(CHECK_INTERVAL_S)
                 continue
             try:
                 await self._read()
             except HistoryGoneError as error:
-                self._on_event("store history lost", revision=self.revision, reason=str(error))
-                self.revision = None
+                self._on_event("store history lost", position=self.position, reason=str(error))
+                self._must_read_all = True
             except ChangeSourceError as error:
                 self._record_failure(error)
                 await curio.sleep(self._retry_delay_s)
 
     def _must_read(self, now_ms: float) -> bool:
-        return self._is_reader() or now_ms - self.confirmed_ms > MAX_CONFIRMATION_AGE_MS
+        if self._is_reader() or self._must_read_all:
+            return True
+        return now_ms - self.confirmed_ms > MAX_CONFIRMATION_AGE_MS
 
     async def _read(self) -> None:
         sent_ms = now_ms()
-        if self.revision is None:
+        if self.position is None or self._must_read_all:
             # The first state may be old, as the watch that follows returns the missing changes.
             read = self._source.read_all if self._has_read else self._source.read_all_stale
             batch = await read(timeout_ms=self._response_timeout_ms)
             self._record_success(sent_ms if self._has_read else sent_ms - STALE_READ_AGE_MS)
-            await self._apply_update(Update(batch.changes, batch.revision, is_full=True))
+            await self._apply_update(Update(batch.changes, batch.position, is_full=True))
             self._has_read = True
             return
         paused_ms = min(BATCH_PAUSE_MS, max(0.0, sent_ms - self.confirmed_ms))
         wait_ms = WATCH_WAIT_MS - paused_ms
         batch = await self._source.wait_for_changes(
-            after_revision=self.revision, wait_ms=wait_ms, timeout_ms=self._response_timeout_ms
+            after=self.position, wait_ms=wait_ms, timeout_ms=self._response_timeout_ms
         )
         # An empty response confirms the state until at least the end of the wait.
         self._record_success(now_ms() if batch.changes else sent_ms + wait_ms)
-        if batch.revision > self.revision:
+        if batch.position > self.position:
             changes = self._with_store_returned(batch.changes)
-            await self._apply_update(Update(changes, batch.revision, is_full=False))
+            await self._apply_update(Update(changes, batch.position, is_full=False))
         # Subscribers need this confirmation before their last one expires.
         await self.updated.set()
         if batch.changes:
@@ -166,24 +171,28 @@
 
     async def on_update(self, update: Update, *, confirmed_ms: float) -> None:
         """Apply an update from a reader, which the store confirmed at ``confirmed_ms``."""
-        if self.revision is None or update.revision > self.revision:
+        if self.position is None or update.position > self.position:
             await self._apply_update(update)
         self.confirmed_ms = max(self.confirmed_ms, confirmed_ms)
 
-    def on_confirmation(self, *, revision: int, confirmed_ms: float) -> None:
-        """Record that the store confirmed the state up to ``revision`` to a reader."""
-        if self.revision is not None and revision <= self.revision:
+    def on_confirmation(self, *, position: StorePosition, confirmed_ms: float) -> None:
+        """Record that the store confirmed the state up to ``position`` to a reader."""
+        if self.position is not None and position <= self.position:
             self.confirmed_ms = max(self.confirmed_ms, confirmed_ms)
 
-    def update_after(self, revision: int | None) -> Update | None:
-        """Return the update for an entry with ``revision``, None if it lacks nothing."""
-        if self.revision is None or (revision is not None and revision >= self.revision):
+    def lacks_update(self, position: StorePosition | None) -> bool:
+        """Return whether an entry at ``position`` lacks changes that this entry has."""
+        return self.position is not None and (position is None or position < self.position)
+
+    def update_after(self, position: StorePosition | None) -> Update | None:
+        """Return the update for an entry at ``position``, None if it lacks nothing."""
+        if self.position is None or not self.lacks_update(position):
             return None
-        if revision is None or not self._history or self._history[0].revision > revision:
-            return Update(self._catalog.snapshot(), self.revision, is_full=True)
-        newer = [batch for batch in self._history if batch.revision > revision]
+        if position is None or not self._history or self._history[0].position > position:
+            return Update(self._catalog.snapshot(), self.position, is_full=True)
+        newer = [batch for batch in self._history if batch.position > position]
         changes = [change for batch in newer for change in batch.changes]
-        return Update(changes, self.revision, is_full=False)
+        return Update(changes, self.position, is_full=False)
 
     # -- details
 
@@ -192,16 +201,30 @@
         return [StoreReturned(), *changes] if now_ms() < self._reregistration_until_ms else changes
 
     async def _apply_update(self, update: Update) -> None:
+        self._check_restoration(update.position)
         if update.is_full:
             self._catalog.replace(update.changes, now_ms=now_ms())
-            self._history = [ChangeBatch([], update.revision)]
+            self._history = [ChangeBatch([], update.position)]
         else:
             self._catalog.apply(update.changes, now_ms=now_ms())
-            self._history.append(ChangeBatch(update.changes, update.revision))
+            self._history.append(ChangeBatch(update.changes, update.position))
             del self._history[:-HISTORY_LENGTH]
-        self.revision = update.revision
+        self.position = update.position
+        self._must_read_all = False
         await self.updated.set()
 
+    def _check_restoration(self, position: StorePosition) -> None:
+        """Treat a restoration like the end of an outage, even if no call to the store failed."""
+        before = self.position
+        if before is not None and position.restorations > before.restorations:
+            self._on_event("store restored", position=position, before=before)
+            self._start_reregistration()
+
+    def _start_reregistration(self) -> None:
+        """Expect targets to register again: removed registrations may only have lapsed."""
+        self._catalog.apply([StoreReturned()], now_ms=now_ms())
+        self._reregistration_until_ms = now_ms() + REREGISTRATION_GRACE_MS
+
     def _record_success(self, confirmed_ms: float) -> None:
         self.confirmed_ms = max(self.confirmed_ms, min(confirmed_ms, now_ms()))
         self._response_timeout_ms = max(RESPONSE_TIMEOUT_MS, self._response_timeout_ms / 2.0)
@@ -211,15 +234,14 @@
         outage_ms = now_ms() - self._failing_since_ms
         self._failing_since_ms = None
         # An unresponsive store is detected late: a short failure may be the end of a long outage.
-        self._catalog.apply([StoreReturned()], now_ms=now_ms())
-        self._reregistration_until_ms = now_ms() + REREGISTRATION_GRACE_MS
+        self._start_reregistration()
         self._on_event("store regained", outage_ms=round(outage_ms))
 
     def _record_failure(self, error: ChangeSourceError) -> None:
         self._response_timeout_ms = min(MAX_RESPONSE_TIMEOUT_MS, self._response_timeout_ms * 1.5)
         if self._failing_since_ms is None:
             self._failing_since_ms = now_ms()
-            self._on_event("store lost", revision=self.revision, reason=str(error))
+            self._on_event("store lost", position=self.position, reason=str(error))
         elif self._is_reader():
             self._retry_delay_s = RETRY_DELAY_S
         else:
--- a/src/kingcupusher/_gateway/process.py
+++ b/src/kingcupusher/_gateway/process.py
@@ -12,7 +12,7 @@
 
 from kingcupusher._core import now_ms
 from kingcupusher._core.signal_event import SignalEvent
-from kingcupusher._discovery import Catalog, ChangeSource, StoreFollower
+from kingcupusher._discovery import NO_POSITION, Catalog, ChangeSource, StoreFollower
 from kingcupusher._gateway.exchange import Exchange
 from kingcupusher._gateway.header_codec import HeaderCodec
 from kingcupusher._gateway.settings import GatewaySettings
@@ -192,8 +192,11 @@
 
     def _gauges(self) -> dict[tuple[str, Labels], float]:
         current_ms = now_ms()
+        position = self._follower.position or NO_POSITION
         return self._gateway.gauges(now_ms=current_ms) | {
             ("news_age_ms", ()): current_ms - self._follower.confirmed_ms,
+            ("store_restorations", ()): position.restorations,
+            ("store_revision", ()): position.revision,
             ("is_reader", ()): float(self._reader_slot.is_held),
             ("is_ready", ()): float(self.is_ready),
             ("store_calls_total", ()): self._store.call_count,
--- a/src/kingcupusher/_relay/messages.py
+++ b/src/kingcupusher/_relay/messages.py
@@ -8,7 +8,7 @@
 
 from msgspec import Struct
 
-from kingcupusher._discovery import Change
+from kingcupusher._discovery import Change, StorePosition
 from kingcupusher._peers.codec import decode_as, encode
 
 __all__ = [
@@ -23,25 +23,25 @@
 
 
 class Subscribe(Struct, array_like=True, frozen=True, tag=1):
-    """First message of a subscriber: its entry name and its revision, if any."""
+    """First message of a subscriber: its entry name and its position, if any."""
 
     entry: str
-    revision: int | None
+    position: StorePosition | None
 
 
 class CatalogUpdate(Struct, array_like=True, frozen=True, tag=2):
-    """Changes up to ``revision``; a full snapshot if ``is_full``."""
+    """Changes up to ``position``; a full snapshot if ``is_full``."""
 
-    revision: int
+    position: StorePosition
     age_ms: int
     is_full: bool
     changes: list[Change]
 
 
 class Confirmation(Struct, array_like=True, frozen=True, tag=3):
-    """The state at ``revision`` is current; the store confirmed it ``age_ms`` ago."""
+    """The state at ``position`` is current; the store confirmed it ``age_ms`` ago."""
 
-    revision: int
+    position: StorePosition
     age_ms: int
 
 
--- a/src/kingcupusher/_relay/server.py
+++ b/src/kingcupusher/_relay/server.py
@@ -8,7 +8,7 @@
 
 from kingcupusher._core import now_ms
 from kingcupusher._core.address import Address
-from kingcupusher._discovery import Catalog, StoreFollower
+from kingcupusher._discovery import NO_POSITION, Catalog, StoreFollower
 from kingcupusher._peers.connection import ByteCounters, Connection, PeerIdentity, accept
 from kingcupusher._peers.errors import HandshakeError, LinkClosedError, MessageError
 from kingcupusher._relay.messages import (
@@ -34,11 +34,11 @@
 class _Subscriber:
     """The state that was sent to a subscriber."""
 
-    __slots__ = ("entry", "entry_list", "entry_list_sent_ms", "revision")
+    __slots__ = ("entry", "entry_list", "entry_list_sent_ms", "position")
 
     def __init__(self, subscribe: Subscribe) -> None:
         self.entry = subscribe.entry
-        self.revision = subscribe.revision
+        self.position = subscribe.position
         self.entry_list: list[str] = []
         self.entry_list_sent_ms = 0.0
 
@@ -113,19 +113,19 @@
         self._entry_list = sorted({self._entry, *(s.entry for s in self._subscribers)})
 
     async def _wait_for_update(self, subscriber: _Subscriber) -> None:
-        # A subscriber may have got a later revision from another reader; it needs no update.
-        if (self._follower.revision or 0) > (subscriber.revision or 0):
+        # A subscriber may have got a later position from another reader; it needs no update.
+        if self._follower.lacks_update(subscriber.position):
             return
         self._follower.updated.clear()
         await curio.ignore_after(CONFIRMATION_INTERVAL_S, self._follower.updated.wait)
 
     def _next_message(self, subscriber: _Subscriber) -> RelayMessage:
         age_ms = max(0, int(now_ms() - self._follower.confirmed_ms))
-        update = self._follower.update_after(subscriber.revision)
+        update = self._follower.update_after(subscriber.position)
         if update is None:
-            return Confirmation(self._follower.revision or 0, age_ms)
-        subscriber.revision = update.revision
-        return CatalogUpdate(update.revision, age_ms, update.is_full, update.changes)
+            return Confirmation(self._follower.position or NO_POSITION, age_ms)
+        subscriber.position = update.position
+        return CatalogUpdate(update.position, age_ms, update.is_full, update.changes)
 
     async def _send_entry_list(self, connection: Connection, subscriber: _Subscriber) -> None:
         names = self._entry_list
--- a/src/kingcupusher/_relay/subscriptions.py
+++ b/src/kingcupusher/_relay/subscriptions.py
@@ -113,7 +113,7 @@
             own = PeerIdentity(0, 0)
             connection = await dial(reader.address, own=own, seat=0, counters=self.counters)
         try:
-            subscribe = Subscribe(self._entry, self._follower.revision)
+            subscribe = Subscribe(self._entry, self._follower.position)
             async with curio.timeout_after(DIAL_TIMEOUT_S):
                 await connection.send(encode(subscribe))
             while True:
@@ -129,11 +129,11 @@
 
     async def _on_message(self, message: RelayMessage) -> None:
         if isinstance(message, CatalogUpdate):
-            update = Update(message.changes, message.revision, message.is_full)
+            update = Update(message.changes, message.position, message.is_full)
             confirmed_ms = now_ms() - message.age_ms
             await self._follower.on_update(update, confirmed_ms=confirmed_ms)
         elif isinstance(message, Confirmation):
             confirmed_ms = now_ms() - message.age_ms
-            self._follower.on_confirmation(revision=message.revision, confirmed_ms=confirmed_ms)
+            self._follower.on_confirmation(position=message.position, confirmed_ms=confirmed_ms)
         elif isinstance(message, EntryList):
             self._catalog.live_entries.mark_seen(message.entries, now_ms=now_ms())
--- a/testing/features/relay.feature
+++ b/testing/features/relay.feature
@@ -23,6 +23,33 @@
       | all entries except the readers lose the store  |
       | the store loses its history                    |
 
+  Scenario Outline: Every entry follows a store that was restored from a copy, <detail>
+    Given 6 entries in 3 zones that follow a store
+    When the store is restored from a copy that lacks 4 changes, and <count> others are written at once
+    And a zone is taken out
+    Then every running entry that reaches the store or a reader applies the change within 2 s
+    And every entry has the content of the store
+    And the steps pass when they are run
+
+    Examples:
+      | detail                                         | count |
+      | with lower revisions than the entries have     | 0     |
+      | with the revision that the entries have        | 4     |
+      | with higher revisions than the entries have    | 7     |
+
+  Scenario: A restoration that takes the reader slots away leaves three readers
+    Given 6 entries in 3 zones that follow a store
+    When the store is restored from a copy without reader slots
+    Then there are 3 readers, one in each zone
+    And every entry has the content of the store
+    And the steps pass when they are run
+
+  Scenario: Targets that a restored store lacks stay usable until they have registered again
+    Given 6 entries in 3 zones that follow a store
+    When the store is restored from a copy that lacks a target, which registers again after 1.5 s
+    Then no entry is without the target at any time
+    And the steps pass when they are run
+
   Scenario: A rolling restart of targets causes few calls to the store
     Given 6 entries in 3 zones that follow a store
     Then 40 changes, 50 ms apart, cost at most 27 calls and reach every entry within 800 ms
--- a/testing/features/steps/relay_steps.py
+++ b/testing/features/steps/relay_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 
 from kingcupusher._core import now_ms
-from kingcupusher._discovery import ReaderGone, RoutesPublished, ZoneTakenOut
+from kingcupusher._discovery import ReaderGone, RoutesPublished, StorePosition, ZoneTakenOut
 from kingcupusher._peers.connection import ByteCounters, PeerIdentity, dial
 from kingcupusher._peers.errors import MessageError
 from kingcupusher._relay.messages import Subscribe, decode, encode
@@ -301,7 +301,8 @@
         reader = cluster.addresses[cluster.readers()[0]]
         own = PeerIdentity(0, 0)
         context.link = await dial(reader, own=own, seat=0, counters=ByteCounters())
-        await context.link.send(encode(Subscribe("e0", cluster.store.revision + 5)))
+        ahead = StorePosition(cluster.store.restorations, cluster.store.revision + 5)
+        await context.link.send(encode(Subscribe("e0", ahead)))
 
     context.steps.append(step)
 
--- /dev/null
+++ b/testing/features/steps/restoration_steps.py
@@ -0,0 +1,111 @@
+"""Steps for a store that is restored from a copy some seconds old."""
+
+from __future__ import annotations
+
+import curio
+from behave import then, when
+
+from kingcupusher._core import now_ms
+from kingcupusher._core.address import Address
+from kingcupusher._discovery import RoutesPublished, TargetRegistration, TargetSeen, ZoneTakenOut
+from testing.gateway.fixture import route_table
+
+CATCH_UP_MS = 3_000.0
+TARGET = TargetRegistration(
+    target_id="t0",
+    service="s",
+    address=Address("127.0.0.1", 1),
+    zone="z0",
+    slots=3,
+    is_draining=False,
+    cold_left_ms=0.0,
+    born_unix_ms=5,
+)
+
+
+async def _write_zones(cluster, prefix, count):
+    for number in range(count):
+        zone = f"{prefix}{number}"
+        cluster.store.write(zone, ZoneTakenOut(zone))
+
+
+@when(
+    "the store is restored from a copy that lacks {lost:d} changes, and {count:d} others are"
+    " written at once"
+)
+def when_restored(context, lost, count):
+    async def step(cluster):
+        copy = cluster.store.copy()
+        await _write_zones(cluster, "lost", lost)
+        await curio.sleep(1.5)
+        cluster.store.restore(copy)
+        await _write_zones(cluster, "new", count)
+
+    context.steps.append(step)
+
+
+@when("the store is restored from a copy without reader slots")
+def when_slots_lost(context):
+    async def step(cluster):
+        cluster.store.restore((1, [], {}, {}))
+        cluster.store.write("routes", RoutesPublished(route_table(version=2)))
+
+    context.steps.append(step)
+
+
+@when(
+    "the store is restored from a copy that lacks a target, which registers again after"
+    " {delay_s:g} s"
+)
+def when_target_lost(context, delay_s):
+    async def step(cluster):
+        copy = cluster.store.copy()
+        cluster.store.write("t0", TargetSeen(TARGET))
+        await curio.sleep(1.5)
+        cluster.store.restore(copy)
+        context.registers_ms = now_ms() + delay_s * 1000.0
+
+    context.steps.append(step)
+
+
+@then("no entry is without the target at any time")
+def then_target_kept(context):
+    # Guards against targets that live but get no requests after a restoration.
+    async def check(cluster):
+        end_ms = context.registers_ms + CATCH_UP_MS
+        while now_ms() < end_ms:
+            if context.registers_ms <= now_ms():
+                context.registers_ms = float("inf")
+                cluster.store.write("t0", TargetSeen(TARGET))
+            without = [n for n in cluster.running if not _usable(cluster.members[n])]
+            assert not without, without
+            for name in cluster.running:
+                cluster.members[name].catalog.remove_lapsed_targets(now_ms=now_ms())
+            await curio.sleep(0.02)
+
+    context.steps.append(check)
+
+
+def _usable(member):
+    return member.catalog.usable_targets("s")
+
+
+@then("every entry has the content of the store")
+def then_same_content(context):
+    # Guards against entries that compare revisions from before and after a restoration.
+    async def check(cluster):
+        contents = cluster.store.contents
+        zones = {c.zone for c in contents.values() if isinstance(c, ZoneTakenOut)}
+        version = contents["routes"].table.version
+
+        def differing():
+            catalogs = {name: cluster.members[name].catalog for name in cluster.running}
+            return {
+                name: (catalog.zones_out, catalog.route_table.version)
+                for name, catalog in catalogs.items()
+                if catalog.zones_out != zones or catalog.route_table.version != version
+            }
+
+        assert await cluster.wait_for(lambda: not differing(), within_ms=CATCH_UP_MS), differing()
+
+    context.steps.append(check)
--- a/testing/gateway/store.py
+++ b/testing/gateway/store.py
@@ -5,13 +5,20 @@
 import curio
 
 from kingcupusher._core import now_ms
-from kingcupusher._discovery import ChangeBatch, ChangeSourceError, HistoryGoneError, ReaderSeen
+from kingcupusher._discovery import (
+    ChangeBatch,
+    ChangeSourceError,
+    HistoryGoneError,
+    ReaderSeen,
+    StorePosition,
+)
 
 
 class FakeStore:
     """Implements the change source of a store follower and the reader slots."""
 
     def __init__(self):
+        self.restorations = 1
         self.revision = 1
         self.events = []
         self.oldest_revision = 0
@@ -33,6 +40,20 @@
         self.contents.pop(key, None)
         self.events.append((self.revision, change))
 
+    @property
+    def position(self):
+        """Return the position of the latest change."""
+        return StorePosition(self.restorations, self.revision)
+
+    def copy(self):
+        """Return a copy for ``restore``."""
+        return self.revision, list(self.events), dict(self.contents), dict(self.slot_leases)
+
+    def restore(self, copy):
+        """Return to the content of ``copy``; what was written since is lost."""
+        self.restorations += 1
+        self.revision, self.events, self.contents, self.slot_leases = copy
+
     def compact_history(self):
         """Drop the events so far."""
         self.oldest_revision = self.revision
@@ -61,23 +82,24 @@
     async def read_all(self, *, timeout_ms):
         """Return all contents."""
         await self._call(timeout_ms)
-        return ChangeBatch(list(self.store.contents.values()), self.store.revision)
+        return ChangeBatch(list(self.store.contents.values()), self.store.position)
 
     read_all_stale = read_all
 
-    async def wait_for_changes(self, *, after_revision, wait_ms, timeout_ms):
-        """Wait for events after a revision."""
+    async def wait_for_changes(self, *, after, wait_ms, timeout_ms):
+        """Wait for events after a position."""
         end_ms = now_ms() + wait_ms
         await self._call(wait_ms + timeout_ms)
-        if after_revision < self.store.oldest_revision:
-            raise HistoryGoneError("the store compacted its history")
-        while self.store.revision == after_revision and now_ms() < end_ms:
+        while self.store.position == after and now_ms() < end_ms:
             await curio.sleep(0.005)
             if self.entry in self.store.unresponsive_for:
                 await curio.sleep(timeout_ms / 1000.0)
                 raise ChangeSourceError("the store does not respond")
-        changes = [change for revision, change in self.store.events if revision > after_revision]
-        return ChangeBatch(changes, self.store.revision)
+        is_known = self.store.oldest_revision <= after.revision <= self.store.revision
+        if not is_known or after.restorations != self.store.restorations:
+            raise HistoryGoneError("the store does not have this history")
+        changes = [change for revision, change in self.store.events if revision > after.revision]
+        return ChangeBatch(changes, self.store.position)
 
     async def list_reader_slots(self):
         """Return the reader slots that are held."""
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -124,9 +124,12 @@
 
 
 @FAULTS.register("store forgets")
-async def _drop_store_history(fleet: Fleet, rng: Random, duration_s: float) -> None:
-    del duration_s
+async def _drop_store_content(fleet: Fleet, rng: Random, duration_s: float) -> None:
+    """Drop the history, and at times also registrations or what was written in the last seconds."""
     await fleet.call_store(forget=True, lapse=rng.random() < 0.5)
+    if rng.random() < 0.5:
+        await curio.sleep(duration_s)
+        await fleet.call_store(restore=True)
 
 
 @FAULTS.register("routes changed")
--- a/testing/soak/store.py
+++ b/testing/soak/store.py
@@ -15,6 +15,10 @@
 from kingcupusher._http.simple_server import Request, serve
 
 JSON = [(b"content-type", b"application/json")]
+RESTORATIONS_HEADER = b"store-era"
+COPY_INTERVAL_S = 1.0
+COPY_COUNT = 4
+"""A restoration uses the oldest of these copies."""
 POLL_INTERVAL_S = 0.02
 LEASE_CHECK_INTERVAL_S = 0.1
 CallHandler = Callable[["Store", dict[str, str], dict], Awaitable[Response]]
@@ -39,6 +43,8 @@
         self.history_start = 0
         self.leases: dict[int, tuple[float, float]] = {}
         """Instant of expiry and TTL of a lease, in milliseconds."""
+        self.restorations = 1
+        self.copies: list[tuple] = []
         self.fault = ""
         self.fault_until_ms = 0.0
 
@@ -67,8 +73,36 @@
             await curio.sleep(LEASE_CHECK_INTERVAL_S)
             self.expire_leases(before_ms=now_ms())
 
+    async def run_copies(self) -> None:
+        """Keep a few recent copies until cancelled."""
+        while True:
+            self.copies.append((self.revision, dict(self.items), dict(self.leases)))
+            del self.copies[:-COPY_COUNT]
+            await curio.sleep(COPY_INTERVAL_S)
+
+    def restore(self) -> None:
+        """Return to the oldest copy; what others than the entries wrote is written again."""
+        if not self.copies:
+            return
+        current = self.items
+        self.revision, self.items, self.leases = self.copies.pop(0)
+        self.copies.clear()
+        self.restorations += 1
+        self.history_start, self.events = self.revision, []
+        foreign = {key: item for key, item in current.items() if not item["lease"]}
+        for key in [k for k, item in self.items.items() if not item["lease"] and k not in foreign]:
+            self.remove(key)
+        for key, item in foreign.items():
+            if self.items.get(key, {}).get("value") != item["value"]:
+                self.put(key, item["value"])
+
     async def handle(self, request: Request) -> Response:
-        """Respond to one call, subject to the active fault."""
+        """Respond to one call with the number of restorations, subject to the active fault."""
+        response = await self._respond(request)
+        header = (RESTORATIONS_HEADER, b"%d" % self.restorations)
+        return Response(response.status, [*response.headers, header], response.body)
+
+    async def _respond(self, request: Request) -> Response:
         url = urlsplit(request.path)
         name = url.path.rstrip("0123456789").rstrip("/").rpartition("/")[2]
         fault = self.fault if now_ms() < self.fault_until_ms and name != "test" else ""
@@ -96,7 +130,7 @@
     after, end_ms = int(query["after"]), now_ms() + int(query["waitMs"])
     while store.revision <= after and now_ms() < end_ms:
         await curio.sleep(POLL_INTERVAL_S)
-    if after < store.history_start:
+    if not store.history_start <= after <= store.revision:
         return _json_response({}, 410)
     events = [event for event in store.events if event["revision"] > after]
     return _json_response({"events": events, "asOf": store.revision})
@@ -143,6 +177,8 @@
         store.remove(key)
     if body.get("forget"):
         store.history_start, store.events = store.revision, []
+    if body.get("restore"):
+        store.restore()
     if body.get("lapse"):
         store.expire_leases(before_ms=float("inf"))
     if "mode" in body:
@@ -153,6 +189,7 @@
 async def _main(address: Address) -> None:
     store = Store()
     await curio.spawn(store.run_lease_expiry, daemon=True)
+    await curio.spawn(store.run_copies, daemon=True)
     await serve(address, store.handle)
 
 
