Bound what a target without end may send

What callers would see: 12 responses without end at once took 453 MB in a test, more than the memory of a VM, so that the entry would be killed with all its requests; interim responses without end kept a request until its deadline and the entry's processor busy.

Cause: each response was bounded (32 MB), but not all together; load probes and control calls read as much as responses, or more; interim responses were not counted. Class: a bound for each item where a bound for all is needed.

Why it works: memory is reserved before bytes are kept and released when the response ends or is given up, whatever its framing; small responses never need a reservation, so that a target without end cannot take the room of others.

--- a/src/kingcupusher/_gateway/attempt.py
+++ b/src/kingcupusher/_gateway/attempt.py
@@ -13,6 +13,7 @@
 from kingcupusher._http.client_connection import ClientConnection
 from kingcupusher._http.errors import ExchangeError, ResetError
 from kingcupusher._http.heads import RequestHead
+from kingcupusher._http.response_memory import ResponseMemory
 
 
 class AttemptOutcome(Enum):
@@ -48,7 +49,16 @@
 class Attempt:
     """Sends a request to one target and reads the response."""
 
-    __slots__ = ("_body", "_header_codec", "_head", "_request_id", "probed", "ended_ms", "sent_ms")
+    __slots__ = (
+        "_body",
+        "_header_codec",
+        "_head",
+        "_memory",
+        "_request_id",
+        "ended_ms",
+        "probed",
+        "sent_ms",
+    )
 
     def __init__(
         self,
@@ -58,7 +68,9 @@
         *,
         request_id: bytes,
         header_codec: HeaderCodec,
+        memory: ResponseMemory,
     ) -> None:
+        self._memory = memory
         self.probed = probed
         self._head = head
         self._body = body
@@ -95,13 +107,13 @@
     async def _exchange(self, connection: ClientConnection, deadline_ms: float) -> AttemptResult:
         connection.start_next_request()
         await connection.send(self._encode(connection, deadline_ms))
-        response = await read_response(connection)
+        response = await read_response(connection, memory=self._memory)
         for _ in range(MAX_MISMATCHED_RESPONSES):
             if self._header_codec.belongs_to(response, self._request_id):
                 break
             # A late duplicate response to an earlier request; the one to this request follows.
             connection.expect_another_response()
-            response = await read_response(connection)
+            response = await read_response(connection, memory=self._memory)
         else:
             raise ResetError(f"{connection.address} sent only responses to other requests")
         kind = self._header_codec.classify(response)
--- a/src/kingcupusher/_gateway/exchange.py
+++ b/src/kingcupusher/_gateway/exchange.py
@@ -251,6 +251,7 @@
             self._caller.body,
             request_id=self._request_id,
             header_codec=self._gateway.header_codec,
+            memory=self._gateway.response_memory,
         )
         target_id = probed.target.target_id
         self._tried_targets.add(target_id)
--- a/src/kingcupusher/_gateway/load_probe.py
+++ b/src/kingcupusher/_gateway/load_probe.py
@@ -17,6 +17,7 @@
 
 PROBE_TIMEOUT_MS = 150.0
 """Probes without a response for this long count as failed."""
+MAX_PROBE_RESPONSE_BYTES = 65_536
 LATE_RESPONSE_WAIT_MS = 4.0
 """Wait for further responses after the first good one; a probe takes 2 ms across zones."""
 
@@ -153,7 +154,7 @@
             await connection.send(
                 encode_request(connection, b"GET", self._health_path, headers, b"")
             )
-            response = await read_response(connection)
+            response = await read_response(connection, max_bytes=MAX_PROBE_RESPONSE_BYTES)
             client.apply_keep_alive(response)
             parsed = self._header_codec.parse_probe_response(response, now_ms=now_ms())
             is_target = parsed is not None and parsed.target_id == client.target.target_id
--- a/src/kingcupusher/_gateway/settings.py
+++ b/src/kingcupusher/_gateway/settings.py
@@ -12,7 +12,8 @@
     """Addresses, identity and limits of an entry.
 
     ``seeds`` are relay addresses of other entries, used to start while the store is unavailable.
-    ``link_mbps`` is the bandwidth of the VM's network link.
+    ``link_mbps`` is the bandwidth of the VM's network link. ``response_memory_bytes`` bounds what
+    large responses take in total while they are read.
     """
 
     entry: str
@@ -25,3 +26,4 @@
     fleet_limits: FleetLimits
     connection_limit: int
     link_mbps: float
+    response_memory_bytes: int
--- a/src/kingcupusher/_gateway/state.py
+++ b/src/kingcupusher/_gateway/state.py
@@ -11,6 +11,7 @@
 from kingcupusher._gateway.settings import GatewaySettings
 from kingcupusher._gateway.target_clients import TargetClients
 from kingcupusher._gateway.wait_queue import WaitQueue
+from kingcupusher._http.response_memory import ResponseMemory
 from kingcupusher._limits.windowed_retry import WindowedRetryBudget
 from kingcupusher._observe.events import EventLog
 from kingcupusher._observe.metrics_registry import Labels, Metrics, labels
@@ -24,6 +25,7 @@
         "_retry_budgets",
         "_wait_queues",
         "_response_times",
+        "response_memory",
         "catalog",
         "header_codec",
         "is_stopping",
@@ -59,6 +61,7 @@
         self._retry_budgets: dict[str, WindowedRetryBudget] = {}
         self._wait_queues: dict[str, WaitQueue] = {}
         self._response_times: dict[str, ResponseTimeEstimate] = {}
+        self.response_memory = ResponseMemory(settings.response_memory_bytes)
         self.is_stopping = False
 
     def on_event(self, event: str, **fields: object) -> None:
--- a/src/kingcupusher/_http/framing.py
+++ b/src/kingcupusher/_http/framing.py
@@ -4,6 +4,8 @@
 
 from kingcupusher._http.heads import HeaderList, RequestHead, ResponseHead
 
+MAX_INTERIM_RESPONSES = 16
+"""A target that sends more of them before a response is considered broken."""
 BODILESS_STATUS = frozenset({204, 304})
 CONFLICTING_LENGTHS = "both Content-Length and Transfer-Encoding are given"
 
--- a/src/kingcupusher/_http/simple_client.py
+++ b/src/kingcupusher/_http/simple_client.py
@@ -14,6 +14,7 @@
 from kingcupusher._http.tcp import connect, enable_tcp_keepalive
 
 RECEIVE_BYTES = 65_536
+MAX_BODY_BYTES = 16_777_216
 
 Headers = Sequence[tuple[bytes, bytes]]
 
@@ -116,6 +117,8 @@
             headers = list(event.headers)
         elif isinstance(event, h11.Data):
             body += event.data
+            if len(body) > MAX_BODY_BYTES:
+                raise h11.RemoteProtocolError(f"body exceeds {MAX_BODY_BYTES} bytes")
         elif isinstance(event, h11.EndOfMessage):
             return Response(status, headers, bytes(body))
         elif isinstance(event, h11.ConnectionClosed):
--- a/src/kingcupusher/_proxy/attempt.py
+++ b/src/kingcupusher/_proxy/attempt.py
@@ -19,7 +19,7 @@
     PoolLimitError,
     ResetError,
 )
-from kingcupusher._http.framing import invalid_framing_reason
+from kingcupusher._http.framing import MAX_INTERIM_RESPONSES, invalid_framing_reason
 from kingcupusher._http.heads import ResponseHead
 from kingcupusher._http.pool import ConnectionPool
 from kingcupusher._http.server_connection import ServerConnection
@@ -249,16 +249,20 @@
 
     async def _read_head(self, connection: ClientConnection) -> ResponseHead:
         await connection.receive()
-        while True:
+        interim_count = 0
+        while interim_count <= MAX_INTERIM_RESPONSES:
             event = connection.next_event()
             if event is h11.NEED_DATA:
                 await connection.receive()
-            elif type(event) is h11.Response:
+                continue
+            if type(event) is h11.Response:
                 head = ResponseHead.of(event)
                 self._check_response(head, connection)
                 return head
-            elif event.status_code >= MIN_FORWARDED_INFORMATIONAL_STATUS:
+            interim_count += 1
+            if event.status_code >= MIN_FORWARDED_INFORMATIONAL_STATUS:
                 await self._caller.send_information(event)
+        raise ExchangeError(f"{connection.address} sent only interim responses")
 
     def _check_response(self, head: ResponseHead, connection: ClientConnection) -> None:
         self._status = head.status
--- a/testing/features/proxy.feature
+++ b/testing/features/proxy.feature
@@ -13,6 +13,8 @@
       | refusing           | an idempotent request                         | 503    | not-run | 1      | Refusal          |
       | truncated          | a non-idempotent request                      | 502    | unknown | 1      | Reset            |
       | invalid            | a non-idempotent request                      | 502    | unknown | 1      | Failure          |
+      | interim only       | a non-idempotent request                      | 502    | unknown | 1      | Failure          |
+      | a long head        | a non-idempotent request                      | 502    | unknown | 1      | Failure          |
       | silent             | a non-idempotent request with a short timeout | 504    | unknown | 1      | Failure          |
       | silent,healthy     | an idempotent request                         | 200    | none    | 2      | Failure,Response |
       | silent,healthy     | a non-idempotent request with a short timeout | 504    | unknown | 1      | Failure          |
--- a/testing/features/steps/proxy_steps.py
+++ b/testing/features/steps/proxy_steps.py
@@ -16,6 +16,8 @@
     "refusing": ResponsePlan(status=503, headers=((b"x-outcome", b"not-run"),)),
     "truncated": ResponsePlan(truncate_at=0),
     "invalid": ResponsePlan(raw=b"nonsense\r\n\r\n"),
+    "interim only": ResponsePlan(raw=b"HTTP/1.1 100 x\r\n\r\n" * 40_000),
+    "a long head": ResponsePlan(raw=b"HTTP/1.1 200 OK\r\nx: " + b"a" * 1_000_000),
     "silent": ResponsePlan(silent=True),
     "early": ResponsePlan(status=413, headers=((b"x-early", b"1"),)),
 }
--- a/testing/gateway/fixture.py
+++ b/testing/gateway/fixture.py
@@ -85,8 +85,17 @@
 class GatewayFixture:
     """Starts targets and a gateway; :meth:`call` sends one raw request."""
 
-    def __init__(self, behaviours, *, loads=(), table=None, fleet_limits=None):
-        self.targets = [
+    def __init__(
+        self,
+        behaviours,
+        *,
+        loads=(),
+        table=None,
+        fleet_limits=None,
+        targets=(),
+        response_memory_bytes=64_000_000,
+    ):
+        self.targets = list(targets) or [
             FakeTarget(f"t{i}", behaviour, load=loads[i] if loads else "0,0,100,0")
             for i, behaviour in enumerate(behaviours)
         ]
@@ -101,6 +110,7 @@
             fleet_limits=fleet_limits or FleetLimits(retry_slack=320.0, probes_per_s=1_000_000.0),
             connection_limit=20,
             link_mbps=1_000.0,
+            response_memory_bytes=response_memory_bytes,
         )
         self.log_reader, log_writer = os.pipe()
         self.catalog = Catalog()
