Move the search for a target out of the handling of a request

Change: TargetSearch holds the targets that were tried, the wait and the reason of a refusal; the exchange starts attempts and responds. No behaviour changes.

--- a/src/kingcupusher/_gateway/exchange.py
+++ b/src/kingcupusher/_gateway/exchange.py
@@ -16,7 +16,6 @@
     NO_ROUTES_YET,
     NO_TARGET,
     SHUTTING_DOWN,
-    TARGETS_EXHAUSTED,
     TIMED_OUT,
     TIMED_OUT_BEFORE_SEND,
     ErrorResponse,
@@ -24,13 +23,13 @@
 from kingcupusher._gateway.load_probe import ProbedTarget
 from kingcupusher._gateway.request_log import RequestLog
 from kingcupusher._gateway.state import GatewayState
-from kingcupusher._gateway.wait_queue import WaitingRequest
+from kingcupusher._gateway.target_search import TargetSearch
 from kingcupusher._http.buffered import BufferedResponse
 from kingcupusher._http.errors import DeadlineError
 from kingcupusher._http.heads import first_header_value, host_name
 from kingcupusher._http.pipeline import CallerRequest
 from kingcupusher._http.timer import RequestTimer
-from kingcupusher._routing.acceptance import MAX_GOOD_COST, AcceptanceCriteria
+from kingcupusher._routing.acceptance import MAX_GOOD_COST
 
 MAX_ATTEMPTS = 4
 MAX_ROUTES_WAIT_MS = 300.0
@@ -49,13 +48,12 @@
         "_gateway",
         "_log",
         "_in_flight",
-        "_refusal",
         "_request_id",
         "_route",
         "_possibly_executed_by",
         "_attempts",
+        "_search",
         "_service",
-        "_tried_targets",
     )
 
     def __init__(self, caller: CallerRequest, gateway: GatewayState) -> None:
@@ -66,12 +64,11 @@
         self._deadline_ms = 0.0
         self._route: Route | None = None
         self._service: ServiceConfig | None = None
-        self._tried_targets: set[str] = set()
+        self._search: TargetSearch | None = None
         self._possibly_executed_by: set[str] = set()
         self._attempts: list[Attempt] = []
         self._in_flight = ConcurrentAttempts()
         self._fallback_response: BufferedResponse | None = None
-        self._refusal = NO_TARGET
 
     @property
     def _may_have_executed(self) -> bool:
@@ -140,7 +137,15 @@
             return NO_TARGET
         self._log.service = self._service.name
         self._gateway.retry_budget(self._service.name).on_request(now_ms=now_ms())
-        probed = await self._find_target()
+        self._search = TargetSearch(
+            self._gateway,
+            self._log,
+            route=self._route,
+            service=self._service,
+            received_ms=self._caller.received_ms,
+            deadline_ms=self._deadline_ms,
+        )
+        probed = await self._search.find_first()
         while probed is not None:
             await self._start_attempt(probed)
             response = await self._first_success()
@@ -193,58 +198,8 @@
             attempt.penalize_target()
         await self._start_attempt(probed)
 
-    async def _find_target(self) -> ProbedTarget | None:
-        """Return an acceptable target; after a limited wait, also one of fair cost.
-
-        There is no wait if the request rates that the targets state leave no room in time.
-        """
-        assert self._route is not None and self._service is not None
-        wait_queue = self._gateway.wait_queue(self._service.name)
-        criteria = AcceptanceCriteria(
-            received_ms=self._caller.received_ms,
-            now_ms=now_ms(),
-            objective_ms=self._route.objective_ms,
-            deadline_ms=self._deadline_ms,
-        )
-        if not wait_queue:
-            probed = await self._probe(criteria)
-            if probed is not None:
-                return probed
-        opening_ms = self._gateway.selector.quotas.next_opening_ms(
-            self._service, exclude=self._tried_targets, position=len(wait_queue)
-        )
-        if opening_ms > criteria.wait_until_ms:
-            self._refusal = TARGETS_EXHAUSTED
-            return None
-        waiting_request = WaitingRequest(
-            criteria,
-            exclude=self._tried_targets,
-            priority=self._route.priority,
-            received_ms=self._caller.received_ms,
-            typical_ms=self._gateway.response_time(self._route).typical_ms,
-        )
-        started_ms = now_ms()
-        probed = await wait_queue.wait(waiting_request, self._service)
-        self._log.record_wait(probed, started_ms=started_ms)
-        return probed or await self._probe(criteria, is_last=True)
-
-    async def _probe(
-        self, criteria: AcceptanceCriteria | None, *, is_last: bool = False
-    ) -> ProbedTarget | None:
-        """Probe targets and return the best; with ``criteria``, only if it is acceptable."""
-        assert self._service is not None
-        selector = self._gateway.selector
-        results = await selector.probe_targets(
-            self._service, exclude=self._tried_targets, deadline_ms=self._deadline_ms
-        )
-        best = selector.claim_first(
-            results.usable, self._service, criteria=criteria, is_last=is_last
-        )
-        self._log.record_choice(results, best)
-        await selector.release([probed for probed in results.usable if probed is not best])
-        return best
-
     async def _start_attempt(self, probed: ProbedTarget) -> None:
+        assert self._search is not None
         attempt = Attempt(
             probed,
             self._caller.head,
@@ -254,7 +209,7 @@
             memory=self._gateway.response_memory,
         )
         target_id = probed.target.target_id
-        self._tried_targets.add(target_id)
+        self._search.exclude(target_id)
         self._possibly_executed_by.add(target_id)
         self._attempts.append(attempt)
         await self._in_flight.start(attempt, deadline_ms=self._deadline_ms)
@@ -277,6 +232,7 @@
     async def _next_target(self, *, reserve: int = 0, max_cost: float = inf) -> ProbedTarget | None:
         """Return another target if the request may be retried and the limits allow it."""
         assert self._route is not None and self._service is not None
+        assert self._search is not None
         is_safe = self._route.is_idempotent or not self._may_have_executed
         has_attempts_left = len(self._attempts) < MAX_ATTEMPTS
         has_targets_left = len(self._possibly_executed_by) < self._route.max_targets
@@ -289,19 +245,17 @@
             return None
         probed: ProbedTarget | None = None
         try:
-            probed = await self._probe(None)
-            if probed is not None and self._gateway.selector.cost(probed) > max_cost:
-                await self._gateway.selector.release([probed])
-                probed = None
+            probed = await self._search.find_another(max_cost=max_cost)
             return probed
         finally:
             if probed is None:
                 budget.refund()
 
     def _final_response(self) -> BufferedResponse | ErrorResponse:
+        assert self._search is not None
         if self._fallback_response is not None:
             return self._fallback_response
-        return INCOMPLETE_RESPONSE if self._may_have_executed else self._refusal
+        return INCOMPLETE_RESPONSE if self._may_have_executed else self._search.refusal
 
     async def _deliver(self, response: BufferedResponse) -> None:
         headers = self._gateway.header_codec.response_headers(response)
--- /dev/null
+++ b/src/kingcupusher/_gateway/target_search.py
@@ -0,0 +1,113 @@
+"""Search for the targets of one request, including its wait for an acceptable one."""
+
+from __future__ import annotations
+
+from math import inf
+
+from kingcupusher._core import now_ms
+from kingcupusher._discovery import Route, ServiceConfig
+from kingcupusher._gateway.error_responses import NO_TARGET, TARGETS_EXHAUSTED, ErrorResponse
+from kingcupusher._gateway.load_probe import ProbedTarget
+from kingcupusher._gateway.request_log import RequestLog
+from kingcupusher._gateway.state import GatewayState
+from kingcupusher._gateway.wait_queue import WaitingRequest
+from kingcupusher._routing.acceptance import AcceptanceCriteria
+
+
+class TargetSearch:
+    """Finds targets that were not tried yet; ``refusal`` tells the caller why there was none."""
+
+    __slots__ = (
+        "_deadline_ms",
+        "_gateway",
+        "_log",
+        "_received_ms",
+        "_route",
+        "_service",
+        "_tried_targets",
+        "refusal",
+    )
+
+    def __init__(
+        self,
+        gateway: GatewayState,
+        log: RequestLog,
+        *,
+        route: Route,
+        service: ServiceConfig,
+        received_ms: float,
+        deadline_ms: float,
+    ) -> None:
+        self._gateway = gateway
+        self._log = log
+        self._route = route
+        self._service = service
+        self._received_ms = received_ms
+        self._deadline_ms = deadline_ms
+        self._tried_targets: set[str] = set()
+        self.refusal: ErrorResponse = NO_TARGET
+
+    def exclude(self, target_id: str) -> None:
+        """Leave a target out of further searches because it got the request."""
+        self._tried_targets.add(target_id)
+
+    async def find_first(self) -> ProbedTarget | None:
+        """Return an acceptable target; after a limited wait, also one of fair cost.
+
+        There is no wait if the request rates that the targets state leave no room in time.
+        """
+        wait_queue = self._gateway.wait_queue(self._service.name)
+        criteria = AcceptanceCriteria(
+            received_ms=self._received_ms,
+            now_ms=now_ms(),
+            objective_ms=self._route.objective_ms,
+            deadline_ms=self._deadline_ms,
+        )
+        if not wait_queue:
+            probed = await self._probe(criteria)
+            if probed is not None:
+                return probed
+        opening_ms = self._gateway.selector.quotas.next_opening_ms(
+            self._service, exclude=self._tried_targets, position=len(wait_queue)
+        )
+        if opening_ms > criteria.wait_until_ms:
+            self.refusal = TARGETS_EXHAUSTED
+            return None
+        return await self._wait(criteria) or await self._probe(criteria, is_last=True)
+
+    async def find_another(self, *, max_cost: float = inf) -> ProbedTarget | None:
+        """Return the best target that was not tried yet and costs at most ``max_cost``."""
+        probed = await self._probe(None)
+        if probed is not None and self._gateway.selector.cost(probed) > max_cost:
+            await self._gateway.selector.release([probed])
+            return None
+        return probed
+
+    async def _wait(self, criteria: AcceptanceCriteria) -> ProbedTarget | None:
+        waiting_request = WaitingRequest(
+            criteria,
+            exclude=self._tried_targets,
+            priority=self._route.priority,
+            received_ms=self._received_ms,
+            typical_ms=self._gateway.response_time(self._route).typical_ms,
+        )
+        started_ms = now_ms()
+        wait_queue = self._gateway.wait_queue(self._service.name)
+        probed = await wait_queue.wait(waiting_request, self._service)
+        self._log.record_wait(probed, started_ms=started_ms)
+        return probed
+
+    async def _probe(
+        self, criteria: AcceptanceCriteria | None, *, is_last: bool = False
+    ) -> ProbedTarget | None:
+        """Probe targets and return the best; with ``criteria``, only if it is acceptable."""
+        selector = self._gateway.selector
+        results = await selector.probe_targets(
+            self._service, exclude=self._tried_targets, deadline_ms=self._deadline_ms
+        )
+        best = selector.claim_first(
+            results.usable, self._service, criteria=criteria, is_last=is_last
+        )
+        self._log.record_choice(results, best)
+        await selector.release([probed for probed in results.usable if probed is not best])
+        return best
