Give the fake targets of the gateway tests one base

Cause: the target without end repeated how the fake target accepts connections. Change: LoopbackTarget listens, counts open connections and hands them on; both targets are subclasses.

--- a/testing/gateway/endless_target.py
+++ b/testing/gateway/endless_target.py
@@ -4,10 +4,11 @@
 
 import itertools
 import socket
+from contextlib import suppress
 
 import curio
 
-from kingcupusher._core.address import Address
+from testing.gateway.loopback_target import LoopbackTarget
 from testing.gateway.targets import HEALTH_PATH
 
 PIECE_BYTES = 65_536
@@ -41,45 +42,28 @@
 }
 
 
-class EndlessTarget:
+class EndlessTarget(LoopbackTarget):
     """Responds to load probes properly, or also without end, and to requests without end."""
 
     def __init__(self, kind, *, probes_too=False):
-        self.target_id = "t0"
+        super().__init__("t0")
         self.sent_bytes = 0
         self.request_count = 0
-        self.open_count = 0
         self._kind = kind
         self._probes_too = probes_too
-        self._sock = curio.tcp_server_socket("127.0.0.1", 0)
         self._sock._socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
-        self.address = Address("127.0.0.1", self._sock.getsockname()[1])
-        self._task = None
 
-    async def start(self):
-        """Accept connections."""
-        self._task = await curio.spawn(
-            curio.network.run_server, self._sock, self._on_client, daemon=True
-        )
-
-    async def stop(self):
-        """Stop accepting."""
-        await self._task.cancel()
-
-    async def _on_client(self, sock, _address):
-        self.open_count += 1
-        try:
+    async def _on_client(self, sock):
+        with suppress(OSError):
             while data := await sock.recv(PIECE_BYTES):
-                is_probe = data.startswith(b"GET " + HEALTH_PATH)
-                if is_probe and not self._probes_too:
-                    await sock.sendall(PROBE_RESPONSE)
-                else:
-                    self.request_count += not is_probe
-                    await self._send_without_end(sock)
-        except OSError:
+                await self._on_request(sock, is_probe=data.startswith(b"GET " + HEALTH_PATH))
+
+    async def _on_request(self, sock, *, is_probe):
+        if is_probe and not self._probes_too:
+            await sock.sendall(PROBE_RESPONSE)
             return
-        finally:
-            self.open_count -= 1
+        self.request_count += not is_probe
+        await self._send_without_end(sock)
 
     async def _send_without_end(self, sock):
         beginning, piece = BEGINNINGS_AND_PIECES[self._kind]
--- a/testing/gateway/targets.py
+++ b/testing/gateway/targets.py
@@ -5,7 +5,7 @@
 import curio
 import h11
 
-from kingcupusher._core.address import Address
+from testing.gateway.loopback_target import LoopbackTarget
 
 HEALTH_PATH = b"/health"
 HEALTHY = "healthy"
@@ -17,43 +17,20 @@
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
-class FakeTarget:
+class FakeTarget(LoopbackTarget):
     """Responds to load probes, and to requests according to its behaviour."""
 
     def __init__(self, target_id, behaviour, *, load="0,0,100,0"):
-        self.target_id = target_id
+        super().__init__(target_id)
         self.behaviour = behaviour
         self.load = load
         self.executed = []
         self.received = []
         self.disconnect_count = 0
         self.probe_count = 0
-        self.max_open_connections = 0
-        self._open_connections = 0
-        self._sock = curio.tcp_server_socket("127.0.0.1", 0)
-        self.address = Address("127.0.0.1", self._sock.getsockname()[1])
-        self._task = None
         self._delayed_response = b""
 
-    async def start(self):
-        """Accept connections."""
-        self._task = await curio.spawn(
-            curio.network.run_server, self._sock, self._on_client, daemon=True
-        )
-
-    async def stop(self):
-        """Stop accepting."""
-        await self._task.cancel()
-
-    async def _on_client(self, sock, _address):
-        self._open_connections += 1
-        self.max_open_connections = max(self.max_open_connections, self._open_connections)
-        try:
-            await self._serve(sock)
-        finally:
-            self._open_connections -= 1
-
-    async def _serve(self, sock):
+    async def _on_client(self, sock):
         connection = h11.Connection(h11.SERVER)
         body = b""
         while True:
