Count 32 entries for cold targets and stated rates while none is known

What callers could see: after a mass restart each entry could take a cold target's whole allowance until it had a list of entries, so that the target falls over.

Cause: shares by rank were computed over the known entries and the entry itself, so that an entry without a list took all. Retries, load probes and connections count 32 entries in that case. Class: a bound for all entries that is not divided.

Change: names that stand for 31 others are ranked while no entry is known. A reader counts itself 5 s after it got its slot, so that a single entry gets everything for all its bounds; before, it kept to a 32nd of its retries for good.

Why it works: shares over 32 assumed entries add up to no more than the whole for up to 32 entries without a list, and a list arrives with the first subscription.

--- a/src/kingcupusher/_discovery/live_entries.py
+++ b/src/kingcupusher/_discovery/live_entries.py
@@ -8,6 +8,7 @@
 """Restarting entries still count, so that the shares of a limit do not grow at once."""
 DEFAULT_COUNT = 32
 """Assumed number of entries while none is known, so that shares of a limit stay small."""
+ASSUMED_OTHERS = [f"unknown entry {number}" for number in range(1, DEFAULT_COUNT)]
 
 
 class LiveEntries:
@@ -27,6 +28,10 @@
         """Return the live entries, sorted."""
         return sorted(name for name, until_ms in self._until_ms.items() if until_ms > now_ms)
 
+    def names_or_assumed(self, *, now_ms: float) -> list[str]:
+        """Return the live entries; while none is known, names that stand for other entries."""
+        return self.names(now_ms=now_ms) or ASSUMED_OTHERS
+
     def count(self, *, now_ms: float) -> int:
         """Return the number of live entries, ``DEFAULT_COUNT`` if none is known."""
         return sum(until_ms > now_ms for until_ms in self._until_ms.values()) or DEFAULT_COUNT
--- a/src/kingcupusher/_gateway/request_quotas.py
+++ b/src/kingcupusher/_gateway/request_quotas.py
@@ -92,5 +92,5 @@
         return rate_quota(client.max_requests_per_s, self._rank(client))
 
     def _rank(self, client: TargetClient) -> EntryRank:
-        entries = self._catalog.live_entries.names(now_ms=now_ms())
+        entries = self._catalog.live_entries.names_or_assumed(now_ms=now_ms())
         return client.rank(self._entry, entries=entries)
--- a/src/kingcupusher/_relay/reader_slots.py
+++ b/src/kingcupusher/_relay/reader_slots.py
@@ -27,6 +27,8 @@
 RETRY_DELAY_S = 2.0
 NARROW_LINK_DELAY_S = 3.0
 """An entry with a slow link leaves a vacant slot to others for up to this time."""
+SUBSCRIPTION_DELAY_MS = 5_000.0
+"""Time for subscribers to connect to a new reader; one without any is the only entry."""
 REQUIRED_LINK_MBPS = 20.0
 """A reader for 80 entries sends 2 Mbit/s on average, and several times that in a burst."""
 
@@ -51,6 +53,7 @@
         "_address",
         "_catalog",
         "_entry",
+        "_held_since_ms",
         "_lease",
         "_link_delay_s",
         "_on_event",
@@ -83,6 +86,7 @@
         self._on_event = on_event
         self._slot: int | None = None
         self._lease = 0
+        self._held_since_ms = 0.0
         self._renewal_ms = 0.0
 
     @property
@@ -102,6 +106,7 @@
 
     async def _step(self) -> None:
         if self._slot is not None:
+            self._list_itself()
             await self._renew_if_due()
         elif (held := self._find_own_slot()) is not None:
             await self._resume(held)
@@ -112,6 +117,16 @@
             if self._find_vacant_slot() is not None:
                 await self._acquire(has_waited=zone_delay_s > 0.0)
 
+    def _hold(self, slot: int, lease: int) -> None:
+        self._slot, self._lease = slot, lease
+        self._held_since_ms = now_ms()
+        self._renewal_ms = now_ms() + RENEWAL_INTERVAL_MS
+
+    def _list_itself(self) -> None:
+        """Count this entry as live, also if it is the only one and no reader lists it."""
+        if now_ms() >= self._held_since_ms + SUBSCRIPTION_DELAY_MS:
+            self._catalog.live_entries.mark_seen([self._entry], now_ms=now_ms())
+
     def _find_own_slot(self) -> ReaderSeen | None:
         readers = self._catalog.readers.values()
         return next((reader for reader in readers if reader.entry == self._entry), None)
@@ -121,8 +136,7 @@
         if reader.address != self._address or not await self._store.renew(reader.lease):
             await curio.sleep(RETRY_DELAY_S)
             return
-        self._slot, self._lease = reader.slot, reader.lease
-        self._renewal_ms = now_ms() + RENEWAL_INTERVAL_MS
+        self._hold(reader.slot, reader.lease)
         self._on_event("reader place resumed", slot=reader.slot, lease=reader.lease)
 
     def _find_vacant_slot(self) -> int | None:
@@ -145,8 +159,7 @@
         lease = await self._store.acquire_reader_slot(reader, ttl_ms=LEASE_TTL_MS)
         if lease is None:
             return
-        self._slot, self._lease = vacant[0], lease
-        self._renewal_ms = now_ms() + RENEWAL_INTERVAL_MS
+        self._hold(vacant[0], lease)
         self._on_event("reader place taken", slot=vacant[0], lease=lease)
 
     async def _renew_if_due(self) -> None:
--- a/testing/features/relay.feature
+++ b/testing/features/relay.feature
@@ -102,3 +102,6 @@
 
   Scenario: An entry whose state came from a reader does not replace it by an old copy
     Then an entry that loses the history after its first state came from a reader reads the current state
+
+  Scenario: The only entry of a deployment counts itself once it has been a reader for 5 s
+    Then a single entry is listed at the earliest 5 s and at the latest 7 s after it became a reader
--- a/testing/features/steps/rate_limit_steps.py
+++ b/testing/features/steps/rate_limit_steps.py
@@ -6,10 +6,13 @@
 from behave import given, then, when
 
 from kingcupusher._core import now_ms
+from kingcupusher._gateway import FleetLimits
 from kingcupusher._limits.shares import EntryRank
 from testing.gateway.fixture import GatewayFixture
 
 ANY_RATE = "any"
+COLD = "cold"
+COLD_LOAD = "0,0,100,2000"
 NORMAL_LOAD = "0,0,100,0"
 SLOWER_LOAD = "0,0,130,0"
 """Still acceptable, so that a target with a rate is preferred."""
@@ -17,6 +20,8 @@
 
 
 def _load(rate):
+    if rate == COLD:
+        return COLD_LOAD
     return SLOWER_LOAD if rate == ANY_RATE else f"{NORMAL_LOAD},{rate}"
 
 
@@ -25,6 +30,16 @@
     context.entries = [f"e{i + 1}" for i in range(count)]
     context.rates = rates.split(", ")
     context.before = []
+    context.options = {}
+
+
+@given("a gateway that knows no other entry, with one cold target that takes 64 requests a second")
+def given_unknown_entries(context):
+    given_rates(context, 0, COLD)
+    # The cold target of the fixture takes 4 requests a second.
+    context.options["fleet_limits"] = FleetLimits(
+        retry_slack=320.0, probes_per_s=1_000_000.0, cold_overshoot=16.0
+    )
 
 
 @given("{count:d} callers were served before the target states the rate {rate:g}")
@@ -61,7 +76,9 @@
 def _run(context, action):
     async def main():
         async with GatewayFixture(
-            ["healthy"] * len(context.rates), loads=[_load(rate) for rate in context.rates]
+            ["healthy"] * len(context.rates),
+            loads=[_load(rate) for rate in context.rates],
+            **context.options,
         ) as fixture:
             context.fixture = fixture
             fixture.catalog.live_entries.mark_seen(context.entries, now_ms=now_ms())
--- a/testing/features/steps/relay_steps.py
+++ b/testing/features/steps/relay_steps.py
@@ -357,3 +357,26 @@
         assert "not a relay message" in str(error)
     else:
         raise AssertionError("no error")
+
+
+@then(
+    "a single entry is listed at the earliest {low_s:g} s and at the latest {high_s:g} s after it"
+    " became a reader"
+)
+def then_lists_itself(context, low_s, high_s):
+    # Guards against a single entry that keeps to the share of one among many.
+    async def main():
+        cluster = Cluster(1, 1)
+        await cluster.start("e0")
+        member = cluster.members["e0"]
+        assert await cluster.wait_for(lambda: member.reader_slot.is_held)
+        started_ms = now_ms()
+
+        def is_listed():
+            return member.catalog.live_entries.names(now_ms=now_ms()) == ["e0"]
+
+        assert await cluster.wait_for(is_listed, within_ms=high_s * 1000.0)
+        assert now_ms() - started_ms >= low_s * 1000.0 - 100.0
+        await cluster.stop("e0")
+
+    curio.run(main)
