--- a/testing/features/fleet_limits.feature
+++ b/testing/features/fleet_limits.feature
@@ -42,3 +42,6 @@
       | 114     | 1.4  | 0.8  |
       | 114     | 60   | 0.9  |
       | 15      | 0    | 0    |
+
+  Scenario: The times at which a rate leaves room again are exact
+    Then for every sequence of requests, a request at each announced time is within the rate, and none before
--- a/testing/features/steps/fleet_limits_steps.py
+++ b/testing/features/steps/fleet_limits_steps.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from kingcupusher._discovery.live_entries import LiveEntries
-from kingcupusher._limits.send_window import SendWindow
+from kingcupusher._limits.send_window import SendQuota, SendWindow
 from kingcupusher._limits.shares import EntryRank
 from kingcupusher._limits.target_quotas import cold_quota, rate_quota
 from kingcupusher._limits.token_bucket import TokenBucket
@@ -244,3 +244,26 @@
     arrived_ms = _simulate_rate_limited_fleet(0, context.entries, context.per_s)
     used = len(arrived_ms) / 56.0
     assert used >= share * context.per_s, (used, context.per_s)
+
+
+@then(
+    "for every sequence of requests, a request at each announced time is within the rate, and none"
+    " before"
+)
+def openings_are_exact(context):
+    # Guards against requests that are refused although a share opens in time, or that wait in vain.
+    def prop(gaps_ms, limit):
+        window, quota, now_ms = SendWindow(), SendQuota(limit, 4_000.0), 0.0
+        for gap_ms in gaps_ms:
+            now_ms += gap_ms
+            window.add(now_ms=now_ms)
+        openings_ms = window.openings_ms(quota, now_ms=now_ms)
+        assert len(openings_ms) == limit and openings_ms == sorted(openings_ms)
+        for opening_ms in openings_ms:
+            if opening_ms > now_ms:
+                assert not window.has_room([quota], now_ms=opening_ms - 0.5)
+            assert window.has_room([quota], now_ms=opening_ms)
+            window.add(now_ms=opening_ms)
+
+    gaps_ms = st.lists(st.integers(0, 2_000).map(float), max_size=30)
+    check_property(context, prop, gaps_ms=gaps_ms, limit=st.integers(0, 6))
