--- a/testing/__main__.py
+++ b/testing/__main__.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 from behave.configuration import Configuration
-from behave.model import Status
+from behave.model import Scenario, Status
 from behave.runner import Runner
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -27,8 +27,17 @@
     run_failed = runner.run()
     scenarios = [s for feature in runner.features for s in feature.walk_scenarios()]
     passed = sum(s.status == Status.passed for s in scenarios)
-    failed = sum(s.status.has_failed() for s in scenarios)
-    return passed, failed, run_failed
+    failed = [s for s in scenarios if s.status.has_failed()]
+    for scenario in failed:
+        _print_errors(scenario)
+    return passed, len(failed), run_failed
+
+
+def _print_errors(scenario: Scenario) -> None:
+    """Print why the steps failed, which the progress format leaves out."""
+    for step in scenario.steps:
+        if step.error_message:
+            print(f"{scenario.location} {step.name}:\n{step.error_message}")
 
 
 def main() -> int:
