Take a refusal or response for the request's own only if it names the request

Cause: a target may repeat an earlier refusal on a kept connection. The entry took a refusal without an identifier, such as a repeated response to a load probe, as proof that the request it had just sent did not run, and sent a non-idempotent request to a second target. The proxy of the plain VM list took any repeated refusal so. Change: on the users' platform, a response has to name the request; others are skipped, and one without an identifier leaves the outcome unknown. The proxy does so on connections on which the target echoes X-Request-Id.

--- a/src/kingcupusher/_gateway/attempt.py
+++ b/src/kingcupusher/_gateway/attempt.py
@@ -33,7 +33,8 @@
     ResponseKind.NOT_RUN: AttemptOutcome.NOT_RUN,
     ResponseKind.INVALID: AttemptOutcome.BROKEN,
 }
-MAX_MISMATCHED_RESPONSES = 2
+MAX_RESPONSES_READ = 3
+"""A target may send late duplicates before the response to this request."""
 METHODS_WITH_BODY = frozenset({b"POST", b"PUT", b"PATCH"})
 
 
@@ -107,21 +108,29 @@
     async def _exchange(self, connection: ClientConnection, deadline_ms: float) -> AttemptResult:
         connection.start_next_request()
         await connection.send(self._encode(connection, deadline_ms))
-        response = await read_response(connection, memory=self._memory)
-        for _ in range(MAX_MISMATCHED_RESPONSES):
-            if self._header_codec.belongs_to(response, self._request_id):
-                break
-            # A late duplicate response to an earlier request; the one to this request follows.
-            connection.expect_another_response()
-            response = await read_response(connection, memory=self._memory)
-        else:
-            raise ResetError(f"{connection.address} sent only responses to other requests")
+        response = await self._read_own_response(connection)
         kind = self._header_codec.classify(response)
         outcome = OUTCOME_BY_RESPONSE_KIND[kind]
         if kind is ResponseKind.INVALID:
             return AttemptResult(self, outcome, reason="the response is not the target's own")
         return AttemptResult(self, outcome, response)
 
+    async def _read_own_response(self, connection: ClientConnection) -> BufferedResponse:
+        """Return the first response that names this request; skip late ones to earlier requests.
+
+        A response without the identifier may repeat an earlier one, even a refusal or a response
+        to a load probe, so it does not show what became of this request.
+        """
+        for _ in range(MAX_RESPONSES_READ):
+            response = await read_response(connection, memory=self._memory)
+            response_id = self._header_codec.response_request_id(response)
+            if response_id == self._request_id:
+                return response
+            if not response_id:
+                raise ResetError(f"{connection.address} sent a response without an identifier")
+            connection.expect_another_response()
+        raise ResetError(f"{connection.address} sent only responses to other requests")
+
     def _encode(self, connection: ClientConnection, deadline_ms: float) -> bytes:
         remaining_ms = max(1, int(deadline_ms - now_ms()))
         headers = self._header_codec.request_headers(
--- a/src/kingcupusher/_gateway/header_codec.py
+++ b/src/kingcupusher/_gateway/header_codec.py
@@ -42,8 +42,8 @@
     ) -> HeaderList:
         """Return the headers of the request to ``target_id``."""
 
-    def belongs_to(self, response: BufferedResponse, request_id: bytes) -> bool:
-        """Return whether ``response`` may be the response to the request ``request_id``."""
+    def response_request_id(self, response: BufferedResponse) -> bytes:
+        """Return the identifier of the request that ``response`` names, empty if it names none."""
 
     def classify(self, response: BufferedResponse) -> ResponseKind:
         """Return the kind of ``response``."""
--- a/src/kingcupusher/_http/client_connection.py
+++ b/src/kingcupusher/_http/client_connection.py
@@ -28,7 +28,10 @@
 
 
 class ClientConnection:
-    """One connection to a target; only the task that acquired it uses it."""
+    """One connection to a target; only the task that acquired it uses it.
+
+    ``echoes_request_ids`` tells that a response named the identifier of its request.
+    """
 
     __slots__ = (
         "_http",
@@ -36,6 +39,7 @@
         "_method",
         "_sock",
         "address",
+        "echoes_request_ids",
         "has_received",
         "idle_since_ms",
         "is_aborted",
@@ -52,6 +56,7 @@
         self.is_aborted = False
         self.is_reused = False
         self.has_received = False
+        self.echoes_request_ids = False
 
     @classmethod
     async def open(cls, address: Address, *, deadline_ms: float) -> ClientConnection:
--- a/src/kingcupusher/_proxy/attempt.py
+++ b/src/kingcupusher/_proxy/attempt.py
@@ -266,6 +266,8 @@
 
     def _check_response(self, head: ResponseHead, connection: ClientConnection) -> None:
         self._status = head.status
+        if self._destination.target_id is not None:
+            self._check_request_id(head, connection)
         for name, value in head.headers:
             if name == b"x-target-load":
                 self._load = parse_load_report(value)
@@ -276,6 +278,19 @@
         if reason is not None:
             raise ExchangeError(f"invalid response from {self._destination.pool.address}: {reason}")
 
+    def _check_request_id(self, head: ResponseHead, connection: ClientConnection) -> None:
+        """Raise :class:`ExchangeError` if the response repeats one to an earlier request.
+
+        A target need not echo ``X-Request-Id``. If it has done so on a connection, a response with
+        another identifier, or a refusal without one, does not show what became of this request.
+        """
+        response_id = dict(head.headers).get(b"x-request-id")
+        is_own = response_id == self._request.request_id
+        must_be_own = response_id is not None or NOT_RUN in head.headers
+        if connection.echoes_request_ids and must_be_own and not is_own:
+            raise ExchangeError(f"{connection.address} sent a response to another request")
+        connection.echoes_request_ids |= is_own
+
     async def _forward_response(self, connection: ClientConnection, head: ResponseHead) -> None:
         """Forward the response with one write per batch of received bytes."""
         batch: list[Any] = [head]
--- a/testing/features/gateway.feature
+++ b/testing/features/gateway.feature
@@ -30,6 +30,22 @@
     When a caller sends it three lookups in turn
     Then each caller gets the response to its own request
 
+  Scenario Outline: A refusal that the target sends again does not count for the next request, <detail>
+    Given a gateway with these targets: <targets>
+    And the first target is preferred to the second
+    When the first target refuses a transfer and a caller sends another one
+    Then the second transfer ran once and got status <status>
+
+    Examples:
+      | detail                                  | targets                              | status |
+      | with the identifier of the refused one  | refusing_twice,healthy               | 200    |
+      | without an identifier                   | refusing_twice_without_id,healthy    | 502    |
+
+  Scenario: A response that ends within its head is not a success, wherever it is cut
+    Given a gateway with these targets: cut_in_head
+    When the target closes after each number of bytes of the response head to a transfer
+    Then every transfer gets status 502
+
   Scenario: Pipelined requests run concurrently and get their responses in order
     Given a gateway with these targets: slow,slow,slow
     When a caller sends three lookups at once on one connection
--- a/testing/features/proxy.feature
+++ b/testing/features/proxy.feature
@@ -39,6 +39,19 @@
       | healthy            | an oversized head                             | 431    | not-run | 0      | no events        |
       | healthy            | an upgrade                                    | 200    | none    | 1      | Response         |
 
+  Scenario Outline: A refusal that the target sends again does not count for the next request, <detail>
+    Given a target that echoes request identifiers and refuses the first request
+    When it sends the refusal again, <detail>, before its response to the next request
+    Then the caller of the next request gets 502 with outcome unknown
+
+    Examples:
+      | detail                              |
+      | with the identifier of the first    |
+      | without an identifier               |
+
+  Scenario: A response that ends within its head is not a success, wherever it is cut
+    Then no cut of a response head is delivered as a success
+
   Scenario: No retry is made when the retry budget is exhausted
     Given targets that behave as truncated,healthy
     When a caller sends an idempotent request without retry budget
--- a/testing/features/steps/gateway_steps.py
+++ b/testing/features/steps/gateway_steps.py
@@ -244,6 +244,49 @@
     return [task.result for task in tasks]
 
 
+@when("the first target refuses a transfer and a caller sends another one")
+def when_refused_first(context):
+    async def action(fixture):
+        await fixture.call("transfer", "r0")
+        assert fixture.targets[0].received == ["r0"], fixture.targets[0].received
+        return await fixture.call("transfer", "r1")
+
+    context.response = run(context, action)
+
+
+@then("the second transfer ran once and got status {status:d}")
+def then_second_transfer(context, status):
+    # Guards against a repeated refusal taken as proof that the next request did not run: the
+    # request would run at a second target, or the caller would be told to send it again.
+    executed = [r for target in context.fixture.targets for r in target.executed if r == "r1"]
+    assert executed == ["r1"], [target.executed for target in context.fixture.targets]
+    assert context.response[0] == status, context.response
+
+
+@when("the target closes after each number of bytes of the response head to a transfer")
+def when_cut_in_head(context):
+    async def action(fixture):
+        target = fixture.targets[0]
+        statuses = []
+        for cut_bytes in range(target.head_bytes):
+            target.cut_bytes = cut_bytes
+            # Each cut counts as a failure, after which the target is used less for a time.
+            client = fixture.gateway.target_clients.get(fixture.catalog.targets[target.target_id])
+            client.suspended_until_ms = 0.0
+            status, _, _ = await fixture.call("transfer", "r1")
+            statuses.append(status)
+        return statuses
+
+    context.statuses = run(context, action)
+
+
+@then("every transfer gets status {status:d}")
+def then_every_status(context, status):
+    # Guards against a complete-looking response made of half a head and no body.
+    assert len(context.statuses) > 50, context.statuses
+    assert set(context.statuses) == {status}, context.statuses
+
+
 @when("a caller sends three lookups at once on one connection")
 def when_pipelined(context):
     async def action(fixture):
--- a/testing/features/steps/proxy_property_steps.py
+++ b/testing/features/steps/proxy_property_steps.py
@@ -17,21 +17,24 @@
     suppress_health_check=list(HealthCheck),
 )
 REFUSED = ResponsePlan(status=503, headers=((b"x-outcome", b"not-run"),))
-SURPLUS_RESPONSE = ResponsePlan(body=b"stale").encode()
+REPEATED_ID = ((b"x-request-id", b"an earlier request"),)
+SURPLUS_RESPONSE = ResponsePlan(body=b"stale", headers=REPEATED_ID).encode()
 
 
 @st.composite
 def response_plans(draw, body):
     plan = ResponsePlan(body=body, chunked=draw(st.booleans()))
     plan.segment_bytes = draw(st.sampled_from([1 << 20, 1, 7, 50]))
-    fault = draw(st.sampled_from(["none", "none", "cut", "reset", "surplus", "unframed"]))
+    fault = draw(
+        st.sampled_from(["none", "none", "cut", "reset", "surplus", "repeated", "unframed"])
+    )
     if fault in ("cut", "reset"):
         plan.truncate_at = draw(st.integers(0, len(plan.encode()) - 1))
         plan.reset = fault == "reset"
-    if fault == "surplus":
-        # Surplus bytes received after the next request was written look like its response.
+    if fault in ("surplus", "repeated"):
         plan.surplus = SURPLUS_RESPONSE
-        plan.is_surplus_late = draw(st.booleans())
+        plan.is_surplus_late = fault == "surplus" and draw(st.booleans())
+        plan.is_surplus_before_next = fault == "repeated"
         plan.segment_bytes = 1 << 20
     if fault == "unframed":
         plan.raw = b"HTTP/1.1 200 x\r\n\r\n" + body
@@ -52,6 +55,9 @@
     @given(plans=conversations(), pipelined=st.booleans())
     def check(plans, pipelined):
         target = Target({b"/%d" % i: plan for i, plan in enumerate(plans)})
+        # Surplus bytes that arrive after the next request was written look like its response;
+        # only an echoed identifier tells them apart.
+        target.echoes_request_ids = any(plan.is_surplus_before_next for plan in plans)
         for plan in plans:
             plan.is_surplus_late = plan.is_surplus_late and not pipelined
         World([target]).run(lambda world: _converse(world, plans, pipelined))
--- a/testing/features/steps/proxy_steps.py
+++ b/testing/features/steps/proxy_steps.py
@@ -48,6 +48,59 @@
     context.world = World(targets, down=down)
 
 
+REPEATED_HEADERS = {
+    "with the identifier of the first": ((b"x-request-id", b"first"),),
+    "without an identifier": (),
+}
+
+
+@given("a target that echoes request identifiers and refuses the first request")
+def given_echoing_target(context):
+    context.target = Target({b"/once/1": TARGET_BEHAVIOURS["refusing"]}, echoes_request_ids=True)
+
+
+@when("it sends the refusal again, {detail}, before its response to the next request")
+def when_refusal_repeated(context, detail):
+    refusal = TARGET_BEHAVIOURS["refusing"]
+    repeated = ResponsePlan(status=503, headers=refusal.headers + REPEATED_HEADERS[detail])
+    context.target.plans[b"/once/1"] = ResponsePlan(
+        status=503,
+        headers=refusal.headers,
+        surplus=repeated.encode(),
+        is_surplus_before_next=True,
+    )
+
+    async def scenario(world):
+        caller = await world.connect()
+        async with caller.sock:
+            for number, name in enumerate(("first", "second"), start=1):
+                headers = f"x-request-id: {name}\r\n"
+                await caller.send(
+                    request(f"/once/{number}", method="POST", body=b"1", headers=headers)
+                )
+                reply = await caller.reply()
+            return reply
+
+    context.reply = World([context.target]).run(scenario)
+
+
+@then("the caller of the next request gets {status:d} with outcome {outcome}")
+def then_next_outcome(context, status, outcome):
+    # Guards against "not run" for a request that the target runs, which callers send again.
+    assert len(context.target.received) == 2, context.target.received
+    then_status_and_outcome(context, status, outcome)
+
+
+@then("no cut of a response head is delivered as a success")
+def then_cut_head(context):
+    # Guards against a complete-looking response made of half a head and no body.
+    head_bytes = ResponsePlan().encode().index(b"\r\n\r\n") + 4
+    for cut_bytes in range(head_bytes):
+        target = Target(default=ResponsePlan(truncate_at=cut_bytes))
+        reply = World([target]).run(lambda world: world.call(request("/once", method="POST")))
+        assert (reply.status, reply.outcome) == (502, b"unknown"), (cut_bytes, reply)
+
+
 @when("a caller sends {name} without retry budget")
 def when_request_sent_without_budget(context, name):
     context.world.retries = 0
--- a/testing/gateway/endless_target.py
+++ b/testing/gateway/endless_target.py
@@ -17,7 +17,7 @@
 """Small, so that the bytes that were sent are about those that the entry read."""
 FILLING = b"a" * PIECE_BYTES
 OK_LINE = b"HTTP/1.1 200 OK\r\n"
-SIGNED = OK_LINE + b"x-signed: t0\r\n"
+SIGNED = OK_LINE + b"x-signed: t0\r\nx-id: r0\r\n"
 PROBE_RESPONSE = OK_LINE + b"x-load: 0,0,100,0\r\nx-target: t0\r\ncontent-length: 0\r\n\r\n"
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
 
--- a/testing/gateway/plain_header_codec.py
+++ b/testing/gateway/plain_header_codec.py
@@ -28,9 +28,9 @@
         headers.append((b"x-timeout-ms", b"%d" % remaining_ms))
         return [*headers, (b"x-target", target_id.encode())]
 
-    def belongs_to(self, response, request_id):
-        """Compare ``x-id``."""
-        return response.header(b"x-id") in (None, request_id)
+    def response_request_id(self, response):
+        """Return ``x-id``."""
+        return response.header(b"x-id") or b""
 
     def classify(self, response):
         """Classify by ``x-not-run``, ``x-signed`` and the status."""
--- a/testing/gateway/targets.py
+++ b/testing/gateway/targets.py
@@ -29,6 +29,8 @@
         self.disconnect_count = 0
         self.probe_count = 0
         self._delayed_response = b""
+        self._refused = ""
+        self.cut_bytes = 0
 
     async def _on_client(self, sock):
         connection = h11.Connection(h11.SERVER)
@@ -106,9 +108,43 @@
         return True
 
     async def _be_refusing(self, sock, request_id, body):
-        await sock.sendall(_response(503, [("x-not-run", "1")], b""))
+        await sock.sendall(self._refusal([("x-id", request_id)]))
         return True
 
+    def _refusal(self, headers):
+        return _response(503, [*headers, ("x-not-run", "1")], b"")
+
+    async def _be_refusing_twice(self, sock, request_id, body):
+        """Refuse the first request; send that refusal again before the response to the next."""
+        return await self._refuse_first(sock, request_id, body, [("x-id", self._refused)])
+
+    async def _be_refusing_twice_without_id(self, sock, request_id, body):
+        """Refuse the first request; send a refusal without identifier before the next response."""
+        return await self._refuse_first(sock, request_id, body, [])
+
+    async def _refuse_first(self, sock, request_id, body, repeated_headers):
+        if not self._refused:
+            self._refused = request_id
+            await sock.sendall(self._refusal([("x-id", request_id)]))
+            return True
+        self.executed.append(request_id)
+        await sock.sendall(
+            self._refusal(repeated_headers) + self._signed_response(request_id, body)
+        )
+        return True
+
+    async def _be_cut_in_head(self, sock, request_id, body):
+        """Close after the first ``cut_bytes`` bytes of the head of a complete response."""
+        self.executed.append(request_id)
+        await sock.sendall(self._signed_response(request_id, body)[: self.cut_bytes])
+        return False
+
+    @property
+    def head_bytes(self):
+        """Length of the response head for the request ``r1``."""
+        head, _, _ = self._signed_response("r1", b"").partition(b"\r\n\r\n")
+        return len(head) + 4
+
     async def _be_duplicating(self, sock, request_id, body):
         """Respond twice; the duplicate arrives just before the response to the next request."""
         self.executed.append(request_id)
--- a/testing/proxy_world.py
+++ b/testing/proxy_world.py
@@ -33,6 +33,7 @@
     reset: bool = False
     surplus: bytes = b""
     is_surplus_late: bool = False
+    is_surplus_before_next: bool = False
     segment_bytes: int = 1 << 20
     silent: bool = False
     is_used_once: bool = False
@@ -70,6 +71,8 @@
     received: list[ReceivedRequest] = field(default_factory=list)
     closed_by_peer: int = 0
     connections: int = 0
+    echoes_request_ids: bool = False
+    pending_surplus: dict[object, bytes] = field(default_factory=dict)
 
     async def start(self) -> Address:
         """Listen on a port that the kernel selects."""
@@ -94,6 +97,7 @@
         async with curio.TaskGroup() as group:
             while True:
                 client, _ = await self.sock.accept()
+                client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 self.connections += 1
                 await group.spawn(self._serve, client)
 
@@ -118,7 +122,7 @@
             await client.recv(1)
             self.closed_by_peer += 1
             return False
-        if not await self._respond(client, plan) or not received.is_complete:
+        if not await self._respond(client, plan, received) or not received.is_complete:
             return False
         http.send(h11.Response(status_code=200, headers=[(b"content-length", b"0")]))
         http.send(h11.EndOfMessage())
@@ -144,9 +148,12 @@
             else:
                 return None
 
-    async def _respond(self, client, plan) -> bool:
-        data = plan.encode()[: plan.truncate_at]
-        if not plan.is_surplus_late:
+    async def _respond(self, client, plan, received) -> bool:
+        data = self._encode(plan, received)[: plan.truncate_at]
+        data = self.pending_surplus.pop(client, b"") + data
+        if plan.is_surplus_before_next:
+            self.pending_surplus[client] = plan.surplus
+        elif not plan.is_surplus_late:
             data += plan.surplus
         for start in range(0, len(data), plan.segment_bytes):
             await client.sendall(data[start : start + plan.segment_bytes])
@@ -159,6 +166,14 @@
             client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
         return plan.truncate_at is None and not plan.reset
 
+    def _encode(self, plan, received) -> bytes:
+        data = plan.encode()
+        if not self.echoes_request_ids or plan.raw is not None:
+            return data
+        status_line, _, rest = data.partition(b"\r\n")
+        request_id = received.headers[b"x-request-id"]
+        return b"\r\n".join([status_line, b"x-request-id: " + request_id, rest])
+
 
 @dataclass(slots=True)
 class Reply:
