Send the list of entries as differences and never take a part of the fleet for all of it

Cause, read in the code: a reader sent all names to each subscriber every 10 s and after each change, in a fleet of 312 about 7 KB to each of 208 subscribers, and encoded each update once for each of them without compression. A reader whose subscribers had just begun to connect listed the first few as the whole fleet, and an entry without a list assumed 32, so that 312 entries might exceed each bound that is kept by equal shares. Change: EntriesChanged holds who joined and left, a confirmation confirms the rest; updates are encoded once for all that lack the same changes, and compressed from 1 KB on. A reader publishes its list after 5 s with subscribers. An entry without a list has no share of hard limits. The sorted list of live entries is kept until it changes. Tests, failing before: a subscriber of 40 gets 1,251 bytes when another entry joins (at most 200 now); entries that subscribe within a second list fewer than all; 1,400 routes take their whole size (216,758 bytes). The two rate limit scenarios for an entry without a list expect no share now, which is stricter.

--- a/src/kingcupusher/_discovery/__init__.py
+++ b/src/kingcupusher/_discovery/__init__.py
@@ -22,6 +22,7 @@
     StoreFollower,
     Update,
 )
+from kingcupusher._discovery.live_entries import LiveEntries
 from kingcupusher._discovery.model import (
     CallerLimits,
     Route,
@@ -37,6 +38,7 @@
     "CallerLimits",
     "Catalog",
     "Change",
+    "LiveEntries",
     "StoreFollower",
     "StorePosition",
     "ReaderGone",
--- a/src/kingcupusher/_discovery/follower.py
+++ b/src/kingcupusher/_discovery/follower.py
@@ -173,11 +173,10 @@
 
     # -- updates from readers
 
-    async def on_update(self, update: Update, *, confirmed_ms: float) -> None:
-        """Apply an update from a reader, which the store confirmed at ``confirmed_ms``."""
+    async def on_update(self, update: Update) -> None:
+        """Apply an update from a reader; its confirmation follows."""
         if self.position is None or update.position > self.position:
             await self._apply_update(update)
-        self.confirmed_ms = max(self.confirmed_ms, confirmed_ms)
 
     def on_confirmation(self, *, position: StorePosition, confirmed_ms: float) -> None:
         """Record that the store confirmed the state up to ``position`` to a reader."""
--- a/src/kingcupusher/_discovery/live_entries.py
+++ b/src/kingcupusher/_discovery/live_entries.py
@@ -3,35 +3,54 @@
 from __future__ import annotations
 
 from collections.abc import Collection
+from math import inf
 
 RETENTION_MS = 30_000.0
 """Restarting entries still count, so that the shares of a limit do not grow at once."""
-DEFAULT_COUNT = 32
-"""Assumed number of entries while none is known, so that shares of a limit stay small."""
-ASSUMED_OTHERS = [f"unknown entry {number}" for number in range(1, DEFAULT_COUNT)]
+ASSUMED_COUNT = 32
+"""Assumed number of entries while none is known, for limits that may be exceeded for a moment."""
 
 
 class LiveEntries:
     """Names of entries, each with the time until which it counts as live."""
 
-    __slots__ = ("_until_ms",)
+    __slots__ = ("_names", "_names_until_ms", "_until_ms")
 
     def __init__(self) -> None:
         self._until_ms: dict[str, float] = {}
+        self._names: list[str] = []
+        self._names_until_ms = inf
 
     def mark_seen(self, names: Collection[str], *, now_ms: float) -> None:
         """Record that the entries ``names`` are live now."""
         for name in names:
+            if name not in self._until_ms:
+                self._names_until_ms = -inf
             self._until_ms[name] = now_ms + RETENTION_MS
 
     def names(self, *, now_ms: float) -> list[str]:
-        """Return the live entries, sorted."""
-        return sorted(name for name, until_ms in self._until_ms.items() if until_ms > now_ms)
+        """Return the live entries, sorted; the same list until they change."""
+        if now_ms >= self._names_until_ms:
+            self._update_names(now_ms)
+        return self._names
 
-    def names_or_assumed(self, *, now_ms: float) -> list[str]:
-        """Return the live entries; while none is known, names that stand for other entries."""
-        return self.names(now_ms=now_ms) or ASSUMED_OTHERS
+    def is_known(self, *, now_ms: float) -> bool:
+        """Whether the fleet is known. An entry that does not know it has no share of hard limits.
+
+        A share that is computed from too few entries would exceed a limit by as much as the fleet
+        is larger.
+        """
+        return bool(self.names(now_ms=now_ms))
 
     def count(self, *, now_ms: float) -> int:
-        """Return the number of live entries, ``DEFAULT_COUNT`` if none is known."""
-        return sum(until_ms > now_ms for until_ms in self._until_ms.values()) or DEFAULT_COUNT
+        """Return the number of live entries, ``ASSUMED_COUNT`` if none is known."""
+        return len(self.names(now_ms=now_ms)) or ASSUMED_COUNT
+
+    def _update_names(self, now_ms: float) -> None:
+        self._until_ms = {
+            n: until_ms for n, until_ms in self._until_ms.items() if until_ms > now_ms
+        }
+        names = sorted(self._until_ms)
+        if names != self._names:
+            self._names = names
+        self._names_until_ms = min(self._until_ms.values(), default=inf)
--- a/src/kingcupusher/_gateway/request_quotas.py
+++ b/src/kingcupusher/_gateway/request_quotas.py
@@ -10,7 +10,7 @@
 from kingcupusher._gateway.load_probe import ProbedTarget
 from kingcupusher._gateway.target_clients import TargetClient, TargetClients
 from kingcupusher._limits.send_window import SendQuota
-from kingcupusher._limits.shares import EntryRank
+from kingcupusher._limits.shares import NO_SHARE, EntryRank
 from kingcupusher._limits.target_quotas import cold_quota, rate_quota
 
 RATE_RECHECK_MS = 1_000.0
@@ -92,5 +92,7 @@
         return rate_quota(client.max_requests_per_s, self._rank(client))
 
     def _rank(self, client: TargetClient) -> EntryRank:
-        entries = self._catalog.live_entries.names_or_assumed(now_ms=now_ms())
-        return client.rank(self._entry, entries=entries)
+        live_entries = self._catalog.live_entries
+        if not live_entries.is_known(now_ms=now_ms()):
+            return NO_SHARE
+        return client.rank(self._entry, entries=live_entries.names(now_ms=now_ms()))
--- a/src/kingcupusher/_gateway/state.py
+++ b/src/kingcupusher/_gateway/state.py
@@ -117,7 +117,8 @@
         return values
 
     def retry_slack(self, *, now_ms: float) -> float:
-        """Return this entry's share of the retries that are allowed in addition to the ratio."""
-        return self.settings.fleet_limits.retry_slack / self.catalog.live_entries.count(
-            now_ms=now_ms
-        )
+        """Return this entry's share of the retries beyond the ratio, 0 in an unknown fleet."""
+        live_entries = self.catalog.live_entries
+        if not live_entries.is_known(now_ms=now_ms):
+            return 0.0
+        return self.settings.fleet_limits.retry_slack / live_entries.count(now_ms=now_ms)
--- a/src/kingcupusher/_gateway/target_clients.py
+++ b/src/kingcupusher/_gateway/target_clients.py
@@ -69,8 +69,8 @@
                 self.pool.max_idle_ms = int(seconds) * 1000.0 * KEEP_ALIVE_SHARE
 
     def rank(self, entry: str, *, entries: list[str]) -> EntryRank:
-        """Return the rank of ``entry`` for this target; it is kept until ``entries`` change."""
-        if entries != self._ranked_entries:
+        """Return the rank of ``entry`` for this target; it is kept until another list is given."""
+        if entries is not self._ranked_entries:
             target_id = self.target.target_id
             self._rank = EntryRank.of(entry, entries=entries, target_id=target_id)
             self._ranked_entries = entries
--- a/src/kingcupusher/_limits/shares.py
+++ b/src/kingcupusher/_limits/shares.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from collections.abc import Collection
 
 from msgspec import Struct
@@ -34,6 +35,10 @@
         return base + (1 if self.index < extra else 0)
 
 
+NO_SHARE = EntryRank(index=sys.maxsize - 1, count=sys.maxsize)
+"""Rank of an entry that does not know the fleet; its share of any limit is 0."""
+
+
 def connection_share(connections: int, *, max_entries: int) -> int:
     """Return how many connections to one target each of ``max_entries`` entries may hold.
 
--- a/src/kingcupusher/_relay/messages.py
+++ b/src/kingcupusher/_relay/messages.py
@@ -1,25 +1,23 @@
 """Messages between a reader and its subscribers, encoded as CBOR arrays.
 
-Ages are durations because the clocks of entries differ; a receiver converts them to a time on its
+Long messages are compressed, since names and addresses repeat in routes and registrations. Ages are durations because the clocks of entries differ; a receiver converts them to a time on its
 own clock at once.
 """
 
 from __future__ import annotations
 
+import zlib
+from typing import Any
+
 from msgspec import Struct
 
 from kingcupusher._discovery import Change, StorePosition
-from kingcupusher._peers.codec import decode_as, encode
+from kingcupusher._peers import codec
+from kingcupusher._peers.errors import MessageError
 
-__all__ = [
-    "CatalogUpdate",
-    "Confirmation",
-    "EntryList",
-    "RelayMessage",
-    "Subscribe",
-    "decode",
-    "encode",
-]
+MIN_COMPRESSED_BYTES = 1_024
+COMPRESSION_LEVEL = 1
+MAX_DECOMPRESSED_BYTES = 16_777_216
 
 
 class Subscribe(Struct, array_like=True, frozen=True, tag=1):
@@ -30,31 +28,66 @@
 
 
 class CatalogUpdate(Struct, array_like=True, frozen=True, tag=2):
-    """Changes up to ``position``; a full snapshot if ``is_full``."""
+    """Changes up to ``position``; a full snapshot if ``is_full``. A confirmation follows."""
 
     position: StorePosition
-    age_ms: int
     is_full: bool
     changes: list[Change]
 
 
 class Confirmation(Struct, array_like=True, frozen=True, tag=3):
-    """The state at ``position`` is current; the store confirmed it ``age_ms`` ago."""
+    """The state at ``position`` is current; the store confirmed it ``age_ms`` ago.
+
+    The entries that the reader has listed are still its subscribers.
+    """
 
     position: StorePosition
     age_ms: int
 
 
-class EntryList(Struct, array_like=True, frozen=True, tag=4):
-    """Names of a reader and its subscribers."""
+class EntriesChanged(Struct, array_like=True, frozen=True, tag=4):
+    """Names of entries, a reader and its subscribers, that joined or left its list."""
+
+    joined: list[str]
+    left: list[str]
+
+
+class Compressed(Struct, array_like=True, frozen=True, tag=5):
+    """Another message, encoded and compressed by zlib."""
 
-    entries: list[str]
+    data: bytes
 
 
-RelayMessage = Subscribe | CatalogUpdate | Confirmation | EntryList
+RelayMessage = Subscribe | CatalogUpdate | Confirmation | EntriesChanged
+
+
+def encode(message: RelayMessage) -> bytes:
+    """Return ``message`` as CBOR, compressed if it is long."""
+    data = codec.encode(message)
+    if len(data) < MIN_COMPRESSED_BYTES:
+        return data
+    return codec.encode(Compressed(zlib.compress(data, COMPRESSION_LEVEL)))
 
 
 def decode(data: bytes) -> RelayMessage:
     """Decode a message; raise :class:`MessageError` if it is malformed or of unknown type."""
-    message: RelayMessage = decode_as(data, RelayMessage, expected="a relay message")
+    message = _decode_as(data, RelayMessage | Compressed)
+    if isinstance(message, Compressed):
+        message = _decode_as(_decompress(message.data), RelayMessage)
     return message
+
+
+def _decode_as(data: bytes, kind: Any) -> Any:
+    return codec.decode_as(data, kind, expected="a relay message")
+
+
+def _decompress(data: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    try:
+        decompressed = decompressor.decompress(data, MAX_DECOMPRESSED_BYTES)
+    except zlib.error as error:
+        raise MessageError(f"{len(data)} bytes are not a compressed message: {error}") from error
+    if not decompressor.eof:
+        limit = f"{MAX_DECOMPRESSED_BYTES} when decompressed"
+        raise MessageError(f"{len(data)} bytes are cut off, or more than {limit}")
+    return decompressed
--- a/src/kingcupusher/_relay/server.py
+++ b/src/kingcupusher/_relay/server.py
@@ -8,14 +8,13 @@
 
 from kingcupusher._core import now_ms
 from kingcupusher._core.address import Address
-from kingcupusher._discovery import NO_POSITION, Catalog, StoreFollower
+from kingcupusher._discovery import NO_POSITION, Catalog, StoreFollower, StorePosition
 from kingcupusher._peers.connection import ByteCounters, Connection, PeerIdentity, accept
 from kingcupusher._peers.errors import HandshakeError, LinkClosedError, MessageError
 from kingcupusher._relay.messages import (
     CatalogUpdate,
     Confirmation,
-    EntryList,
-    RelayMessage,
+    EntriesChanged,
     Subscribe,
 )
 from kingcupusher._relay.messages import decode as decode_message
@@ -24,9 +23,10 @@
 HANDSHAKE_TIMEOUT_S = 1.0
 MAX_SILENCE_S = 1.2
 """A reader gets changes or a confirmation from the store once a second, and sends them at once."""
-ENTRY_LIST_INTERVAL_MS = 10_000.0
-"""Interval between entry lists; a changed list is sent sooner."""
-ENTRY_LIST_CHANGE_INTERVAL_MS = 1_000.0
+ENTRY_LIST_DELAY_MS = 5_000.0
+"""Entries connect to a new reader within this time; its list is too short before."""
+ENTRY_LIST_INTERVAL_MS = 1_000.0
+MAX_CACHED_UPDATES = 8
 SEND_TIMEOUT_S = 2.0
 BACKLOG = 256
 
@@ -34,14 +34,14 @@
 class _Subscriber:
     """The state that was sent to a subscriber."""
 
-    __slots__ = ("confirmed_ms", "entry", "entry_list", "entry_list_sent_ms", "position")
+    __slots__ = ("confirmed_ms", "entry", "listed_entries", "listed_ms", "position")
 
     def __init__(self, subscribe: Subscribe) -> None:
         self.entry = subscribe.entry
         self.position = subscribe.position
         self.confirmed_ms = 0.0
-        self.entry_list: list[str] = []
-        self.entry_list_sent_ms = 0.0
+        self.listed_entries: frozenset[str] = frozenset()
+        self.listed_ms = 0.0
 
 
 class RelayServer:
@@ -49,10 +49,13 @@
 
     __slots__ = (
         "_address",
+        "_cached_updates",
         "_catalog",
+        "_entries",
+        "_entries_marked_ms",
         "_entry",
-        "_entry_list",
         "_follower",
+        "_list_from_ms",
         "_subscribers",
         "counters",
     )
@@ -65,7 +68,10 @@
         self._catalog = catalog
         self._entry = entry
         self._subscribers: dict[_Subscriber, None] = {}
-        self._entry_list = [entry]
+        self._entries = frozenset([entry])
+        self._entries_marked_ms = 0.0
+        self._list_from_ms = 0.0
+        self._cached_updates: dict[tuple[StorePosition | None, StorePosition], bytes] = {}
         self.counters = ByteCounters()
 
     async def run(self) -> None:
@@ -97,21 +103,23 @@
                 raise MessageError("the first message of a subscriber must be its subscription")
 
     async def _serve(self, connection: Connection, subscriber: _Subscriber) -> None:
+        if not self._subscribers:
+            self._list_from_ms = now_ms() + ENTRY_LIST_DELAY_MS
         self._subscribers[subscriber] = None
-        self._update_entry_list()
+        self._update_entries()
         watcher = await curio.spawn(_wait_for_end, connection, daemon=True)
         try:
             while not watcher.terminated:
-                await self._send(connection, self._next_message(subscriber))
-                await self._send_entry_list(connection, subscriber)
+                for message in self._next_messages(subscriber):
+                    await self._send(connection, message)
                 await self._wait_for_update(subscriber)
         finally:
             self._subscribers.pop(subscriber, None)
-            self._update_entry_list()
+            self._update_entries()
             await watcher.cancel()
 
-    def _update_entry_list(self) -> None:
-        self._entry_list = sorted({self._entry, *(s.entry for s in self._subscribers)})
+    def _update_entries(self) -> None:
+        self._entries = frozenset([self._entry, *(s.entry for s in self._subscribers)])
 
     async def _wait_for_update(self, subscriber: _Subscriber) -> None:
         async with curio.ignore_after(MAX_SILENCE_S):
@@ -124,29 +132,51 @@
         lacks_update = self._follower.lacks_update(subscriber.position)
         return lacks_update or self._follower.confirmed_ms > subscriber.confirmed_ms
 
-    def _next_message(self, subscriber: _Subscriber) -> RelayMessage:
-        age_ms = max(0, int(now_ms() - self._follower.confirmed_ms))
+    def _next_messages(self, subscriber: _Subscriber) -> list[bytes]:
+        """Return the encoded messages that bring ``subscriber`` up to date."""
+        messages = [self._encoded_update(subscriber), self._encoded_list_change(subscriber)]
         subscriber.confirmed_ms = self._follower.confirmed_ms
-        update = self._follower.update_after(subscriber.position)
-        if update is None:
-            return Confirmation(self._follower.position or NO_POSITION, age_ms)
-        subscriber.position = update.position
-        return CatalogUpdate(update.position, age_ms, update.is_full, update.changes)
-
-    async def _send_entry_list(self, connection: Connection, subscriber: _Subscriber) -> None:
-        names = self._entry_list
-        is_changed = names != subscriber.entry_list
-        interval_ms = ENTRY_LIST_CHANGE_INTERVAL_MS if is_changed else ENTRY_LIST_INTERVAL_MS
-        if now_ms() < subscriber.entry_list_sent_ms + interval_ms:
-            return
-        subscriber.entry_list = names
-        subscriber.entry_list_sent_ms = now_ms()
-        self._catalog.live_entries.mark_seen(names, now_ms=now_ms())
-        await self._send(connection, EntryList(names))
-
-    async def _send(self, connection: Connection, message: RelayMessage) -> None:
+        age_ms = max(0, int(now_ms() - self._follower.confirmed_ms))
+        position = self._follower.position or NO_POSITION
+        messages.append(encode_message(Confirmation(position, age_ms)))
+        return [message for message in messages if message is not None]
+
+    def _encoded_update(self, subscriber: _Subscriber) -> bytes | None:
+        """Return the missing changes; subscribers that lack the same ones get the same bytes."""
+        before, position = subscriber.position, self._follower.position
+        if position is None or not self._follower.lacks_update(before):
+            return None
+        subscriber.position = position
+        encoded = self._cached_updates.get((before, position))
+        if encoded is None:
+            update = self._follower.update_after(before)
+            assert update is not None
+            encoded = encode_message(CatalogUpdate(position, update.is_full, update.changes))
+            while len(self._cached_updates) >= MAX_CACHED_UPDATES:
+                del self._cached_updates[next(iter(self._cached_updates))]
+            self._cached_updates[before, position] = encoded
+        return encoded
+
+    def _encoded_list_change(self, subscriber: _Subscriber) -> bytes | None:
+        """Return how the list of entries changed, at most once in ``ENTRY_LIST_INTERVAL_MS``."""
+        current_ms = now_ms()
+        if current_ms < self._list_from_ms:
+            return None
+        if current_ms >= self._entries_marked_ms + ENTRY_LIST_INTERVAL_MS:
+            self._entries_marked_ms = current_ms
+            self._catalog.live_entries.mark_seen(self._entries, now_ms=current_ms)
+        before = subscriber.listed_entries
+        is_due = current_ms >= subscriber.listed_ms + ENTRY_LIST_INTERVAL_MS
+        if before == self._entries or not is_due:
+            return None
+        subscriber.listed_entries = self._entries
+        subscriber.listed_ms = current_ms
+        joined, left = self._entries - before, before - self._entries
+        return encode_message(EntriesChanged(sorted(joined), sorted(left)))
+
+    async def _send(self, connection: Connection, message: bytes) -> None:
         async with curio.timeout_after(SEND_TIMEOUT_S):
-            await connection.send(encode_message(message))
+            await connection.send(message)
 
 
 async def _wait_for_end(connection: Connection) -> None:
--- a/src/kingcupusher/_relay/subscriptions.py
+++ b/src/kingcupusher/_relay/subscriptions.py
@@ -9,13 +9,13 @@
 from kingcupusher._core import now_ms
 from kingcupusher._core.address import Address
 from kingcupusher._core.rendezvous import rendezvous_weight
-from kingcupusher._discovery import Catalog, ReaderSeen, StoreFollower, Update
+from kingcupusher._discovery import Catalog, LiveEntries, ReaderSeen, StoreFollower, Update
 from kingcupusher._peers.connection import ByteCounters, Connection, PeerIdentity, dial
 from kingcupusher._peers.errors import HandshakeError, LinkClosedError, MessageError
 from kingcupusher._relay.messages import (
     CatalogUpdate,
     Confirmation,
-    EntryList,
+    EntriesChanged,
     RelayMessage,
     Subscribe,
     decode,
@@ -32,6 +32,31 @@
 AVOID_AFTER_LOSS_MS = 4_000.0
 """For this time, a reader whose link was lost is used only if there is no other."""
 NO_SLOT = -1
+ENTRIES_REFRESH_INTERVAL_MS = 5_000.0
+
+
+class _ListedEntries:
+    """Entries that the reader at the other end of one link lists."""
+
+    __slots__ = ("_live_entries", "_names", "_refresh_ms")
+
+    def __init__(self, live_entries: LiveEntries) -> None:
+        self._live_entries = live_entries
+        self._names: set[str] = set()
+        self._refresh_ms = 0.0
+
+    def on_change(self, message: EntriesChanged) -> None:
+        """Apply a change of the list."""
+        self._names.update(message.joined)
+        self._names.difference_update(message.left)
+        self._live_entries.mark_seen(message.joined, now_ms=now_ms())
+
+    def refresh(self) -> None:
+        """Mark the listed entries as live, since the reader still sends messages."""
+        current_ms = now_ms()
+        if current_ms >= self._refresh_ms:
+            self._refresh_ms = current_ms + ENTRIES_REFRESH_INTERVAL_MS
+            self._live_entries.mark_seen(self._names, now_ms=current_ms)
 
 
 class Subscriptions:
@@ -116,24 +141,26 @@
             subscribe = Subscribe(self._entry, self._follower.position)
             async with curio.timeout_after(DIAL_TIMEOUT_S):
                 await connection.send(encode(subscribe))
+            listed = _ListedEntries(self._catalog.live_entries)
             while True:
-                await self._receive(connection)
+                await self._receive(connection, listed)
         finally:
             await connection.close()
 
-    async def _receive(self, connection: Connection) -> None:
+    async def _receive(self, connection: Connection, listed: _ListedEntries) -> None:
         async with curio.timeout_after(RECEIVE_TIMEOUT_S):
             received = await connection.receive()
         for data in received:
-            await self._on_message(decode(data))
+            await self._on_message(decode(data), listed)
 
-    async def _on_message(self, message: RelayMessage) -> None:
+    async def _on_message(self, message: RelayMessage, listed: _ListedEntries) -> None:
         if isinstance(message, CatalogUpdate):
-            update = Update(message.changes, message.position, message.is_full)
-            confirmed_ms = now_ms() - message.age_ms
-            await self._follower.on_update(update, confirmed_ms=confirmed_ms)
+            await self._follower.on_update(
+                Update(message.changes, message.position, message.is_full)
+            )
         elif isinstance(message, Confirmation):
             confirmed_ms = now_ms() - message.age_ms
             self._follower.on_confirmation(position=message.position, confirmed_ms=confirmed_ms)
-        elif isinstance(message, EntryList):
-            self._catalog.live_entries.mark_seen(message.entries, now_ms=now_ms())
+            listed.refresh()
+        elif isinstance(message, EntriesChanged):
+            listed.on_change(message)
--- a/testing/features/fleet_limits.feature
+++ b/testing/features/fleet_limits.feature
@@ -11,7 +11,7 @@
     Then for every sequence of probes each window stays within the rate and the burst
 
   Scenario: Entries that restart stay in the count
-    Then an entry is counted for 30 s after it was last seen, and 32 entries before any is known
+    Then an entry is counted for 30 s after it was last seen, and hard limits have no share before any is known
 
   Scenario: Pattern "a target that is slow or crowded": targets are ordered by expected slowness
     Then a free target at normal speed precedes a busy one, and that precedes a slow one
--- a/testing/features/rate_limit.feature
+++ b/testing/features/rate_limit.feature
@@ -30,15 +30,15 @@
     When 12 callers send a lookup at the same time
     Then all requests were served
 
-  Scenario: An entry that knows no other entry takes a small share of the rate
+  Scenario: An entry that knows no other entry takes no share of the rate
     Given a gateway that is one of 0 entries, with targets that take these rates: 16
     When 12 callers send a lookup at the same time
-    Then the first target ran 2 requests
+    Then the first target ran 0 requests
 
-  Scenario: An entry that knows no other entry takes a small share of a cold target
+  Scenario: An entry that knows no other entry takes no share of a cold target
     Given a gateway that knows no other entry, with one cold target that takes 64 requests a second
     When 12 callers send a lookup at the same time
-    Then the first target ran 2 requests
+    Then the first target ran 0 requests
 
   Scenario: A request that was not sent is not counted
     Given a gateway that is one of 4 entries, with targets that take these rates: 1
--- a/testing/features/relay.feature
+++ b/testing/features/relay.feature
@@ -90,6 +90,24 @@
     Then the reader sends the subscriber at most 6 messages in 2 s
     And the steps pass when they are run
 
+  Scenario: Pattern "an entry joins a large fleet": the other subscribers learn only its name
+    Given a reader with 40 subscribers that it has listed
+    When another entry subscribes
+    Then each of the 40 subscribers gets at most 200 bytes, and all of them list 42 entries
+
+  Scenario: Pattern "all entries start at once": no subscriber takes the first few for the whole fleet
+    Given a reader without subscribers
+    When 12 entries subscribe within 1 s
+    Then none of them lists fewer than 13 entries at any time, and all do after 7 s
+
+  Scenario: Pattern "many routes": a subscriber gets a fraction of their size
+    Given a reader whose store publishes 1400 routes
+    When an entry subscribes
+    Then it has the routes after at most a fifth of their encoded size
+
+  Scenario: A compressed message is decoded to a limited size
+    Then a message that is longer than 16 MB when decompressed is malformed
+
   Scenario Outline: A malformed message raises the error that ends only its link
     Then decoding <message> raises an error for a malformed relay message
 
--- a/testing/features/steps/fleet_limits_steps.py
+++ b/testing/features/steps/fleet_limits_steps.py
@@ -10,7 +10,7 @@
 
 from kingcupusher._discovery.live_entries import LiveEntries
 from kingcupusher._limits.send_window import SendQuota, SendWindow
-from kingcupusher._limits.shares import EntryRank
+from kingcupusher._limits.shares import NO_SHARE, EntryRank
 from kingcupusher._limits.target_quotas import cold_quota, rate_quota
 from kingcupusher._limits.token_bucket import TokenBucket
 from kingcupusher._limits.windowed_retry import WindowedRetryBudget
@@ -108,15 +108,22 @@
     )
 
 
-@then("an entry is counted for 30 s after it was last seen, and 32 entries before any is known")
+@then(
+    "an entry is counted for 30 s after it was last seen, and hard limits have no share before any"
+    " is known"
+)
 def live_entries_retention(context):
     live_entries = LiveEntries()
     assert live_entries.count(now_ms=0.0) == 32
+    assert not live_entries.is_known(now_ms=0.0)
+    assert NO_SHARE.share(1_000_000) == 0
     live_entries.mark_seen(["e1", "e2"], now_ms=0.0)
     live_entries.mark_seen(["e2"], now_ms=20_000.0)
     assert live_entries.names(now_ms=29_999.0) == ["e1", "e2"]
     assert live_entries.names(now_ms=30_001.0) == ["e2"]
+    assert live_entries.is_known(now_ms=49_999.0)
     assert live_entries.count(now_ms=50_001.0) == 32
+    assert not live_entries.is_known(now_ms=50_001.0)
 
 
 def _reading(running, waiting, slowness_percent):
--- a/testing/features/steps/rate_limit_steps.py
+++ b/testing/features/steps/rate_limit_steps.py
@@ -78,10 +78,10 @@
         async with GatewayFixture(
             ["healthy"] * len(context.rates),
             loads=[_load(rate) for rate in context.rates],
+            entries=context.entries,
             **context.options,
         ) as fixture:
             context.fixture = fixture
-            fixture.catalog.live_entries.mark_seen(context.entries, now_ms=now_ms())
             for before in context.before:
                 await before(fixture)
             async with curio.timeout_after(20):
--- a/testing/features/steps/restoration_steps.py
+++ b/testing/features/steps/restoration_steps.py
@@ -156,7 +156,8 @@
             source, catalog, is_reader=lambda: True, on_event=lambda *_args, **_fields: None
         )
         update = Update([ZoneTakenOut("a")], StorePosition(1, 10), is_full=True)
-        await follower.on_update(update, confirmed_ms=now_ms())
+        await follower.on_update(update)
+        follower.on_confirmation(position=update.position, confirmed_ms=now_ms())
         task = await curio.spawn(follower.run, daemon=True)
         await curio.sleep(0.2)
         await task.cancel()
--- a/testing/gateway/fixture.py
+++ b/testing/gateway/fixture.py
@@ -94,6 +94,7 @@
         fleet_limits=None,
         targets=(),
         response_memory_bytes=64_000_000,
+        entries=("e1",),
     ):
         self.targets = list(targets) or [
             FakeTarget(f"t{i}", behaviour, load=loads[i] if loads else "0,0,100,0")
@@ -117,12 +118,14 @@
         log = EventLog(descriptor=log_writer)
         self.gateway = GatewayState(settings, self.catalog, PlainHeaderCodec(), log)
         self.table = table or route_table()
+        self.entries = entries
         self.listener = None
         self.limits = PipelineLimits()
 
     async def __aenter__(self):
         for target in self.targets:
             await target.start()
+        self.catalog.live_entries.mark_seen(self.entries, now_ms=now_ms())
         changes = [TargetSeen(registration(target)) for target in self.targets]
         self.catalog.apply([RoutesPublished(self.table), *changes], now_ms=now_ms())
         self.listener = PipelineListener(
