Divide the load probes of a target among the entries that it is near to

Cause: an entry's share of the probes of one target was the rate divided by all entries, 0.16 a second in a fleet of 312. Near targets ran out of probes after two requests, so that most probes went to targets that the entry seldom uses, each over a new connection and mostly to another zone. Change: the rate of a target is divided by the number of entries to which it is near on average, and a bucket per service bounds the probes of an entry over all targets, so that the sum over the fleet is as before. Shares in fleets in which each entry has all targets near do not change. Tests: a table of shares from 3 to 1,000 entries.

--- a/src/kingcupusher/_gateway/selector.py
+++ b/src/kingcupusher/_gateway/selector.py
@@ -13,12 +13,15 @@
 from kingcupusher._gateway.request_quotas import RequestQuotas
 from kingcupusher._gateway.target_clients import TargetClient, TargetClients
 from kingcupusher._limits import connection_share
+from kingcupusher._limits.probe_shares import probe_shares
+from kingcupusher._limits.token_bucket import TokenBucket
 from kingcupusher._routing.acceptance import MAX_FAIR_COST, MAX_GOOD_COST, AcceptanceCriteria
 from kingcupusher._routing.selection import PROBE_ORDERS, target_cost
 
 PROBE_COUNT = 5
 """More than five probes had no benefit at normal load (docs/decisions/asking.md)."""
 NEAR_COUNT = 6
+"""Targets of the own zone that an entry prefers, and as many of the other zones."""
 MAX_PROBE_ROUNDS = 3
 MAX_QUEUED = 3
 """A target with this many queued requests or more is not used: it may soon refuse some."""
@@ -71,7 +74,17 @@
 class TargetSelector:
     """Finds the targets with the lowest expected response time."""
 
-    __slots__ = ("_catalog", "_entry", "_clients", "_rng", "_limits", "_prober", "_zone", "quotas")
+    __slots__ = (
+        "_catalog",
+        "_clients",
+        "_entry",
+        "_limits",
+        "_probe_tokens",
+        "_prober",
+        "_rng",
+        "_zone",
+        "quotas",
+    )
 
     def __init__(
         self,
@@ -91,6 +104,7 @@
         self._zone = zone
         self._limits = fleet_limits
         self._rng = rng
+        self._probe_tokens: dict[str, TokenBucket] = {}
         self.quotas = RequestQuotas(
             catalog, clients, entry=entry, cold_overshoot=fleet_limits.cold_overshoot
         )
@@ -113,8 +127,7 @@
                 batch = order[first : first + count]
                 if first and results:
                     batch = [t for t in batch if not self._is_suspended(t)]
-                for target in batch:
-                    self._clients.get(target).probe_tokens.try_take(now_ms=started_ms)
+                batch = [t for t in batch if self._take_probe(t)]
                 probed_count += len(batch)
                 results += await self._prober.probe(
                     batch, health_path=service.health_path, deadline_ms=deadline_ms
@@ -146,22 +159,30 @@
             self.quotas.refund(probed)
         await self._prober.release(results)
 
+    def _take_probe(self, target: Target) -> bool:
+        """Count a probe of ``target``; return False if the service has no probes left."""
+        current_ms = now_ms()
+        if not self._probe_tokens[target.record.service].try_take(now_ms=current_ms):
+            return False
+        return self._clients.get(target).probe_tokens.try_take(now_ms=current_ms)
+
     def _is_suspended(self, target: Target) -> bool:
         return self._clients.get(target).is_suspended(now_ms=now_ms())
 
     def _probe_order(self, service: ServiceConfig, exclude: Collection[str]) -> Sequence[Target]:
         current_ms = now_ms()
         entries = self._catalog.live_entries.count(now_ms=current_ms)
-        probes_per_s = self._limits.probes_per_s * PROBE_RATE_SHARE / entries
+        targets = self._catalog.usable_targets(service.name)
+        per_target_per_s = self._share_probes(service, entries=entries, targets=len(targets))
         connections = self._connections_per_target(service, entries)
         candidates = []
-        for target in self._catalog.usable_targets(service.name):
+        for target in targets:
             if target.target_id in exclude:
                 continue
             client = self._clients.get(target)
             client.set_limits(
-                probes_per_s=probes_per_s,
-                probe_burst=max(1.0, probes_per_s * PROBE_BURST_S),
+                probes_per_s=per_target_per_s,
+                probe_burst=max(1.0, per_target_per_s * PROBE_BURST_S),
                 connections=connections,
             )
             if self.quotas.is_exhausted(client):
@@ -173,6 +194,22 @@
         )
         return [candidate.target for candidate in ordered]
 
+    def _share_probes(self, service: ServiceConfig, *, entries: int, targets: int) -> float:
+        """Set the rate of probes to the service; return the rate of probes to each target."""
+        shares = probe_shares(
+            self._limits.probes_per_s * PROBE_RATE_SHARE,
+            entries=entries,
+            targets=targets,
+            near_count=2 * NEAR_COUNT,
+        )
+        burst = max(1.0, shares.per_service_per_s * PROBE_BURST_S)
+        tokens = self._probe_tokens.get(service.name)
+        if tokens is None:
+            tokens = TokenBucket(per_s=shares.per_service_per_s, burst=burst, now_ms=now_ms())
+            self._probe_tokens[service.name] = tokens
+        tokens.set_rate(per_s=shares.per_service_per_s, burst=burst)
+        return shares.per_target_per_s
+
     def _create_candidate(self, client: TargetClient, now_ms: float) -> _Candidate:
         return _Candidate(
             client.target,
--- a/src/kingcupusher/_relay/messages.py
+++ b/src/kingcupusher/_relay/messages.py
@@ -1,7 +1,8 @@
 """Messages between a reader and its subscribers, encoded as CBOR arrays.
 
-Long messages are compressed, since names and addresses repeat in routes and registrations. Ages are durations because the clocks of entries differ; a receiver converts them to a time on its
-own clock at once.
+Long messages are compressed, since names and addresses repeat in routes and registrations. Ages
+are durations because the clocks of entries differ; a receiver converts them to a time on its own
+clock at once.
 """
 
 from __future__ import annotations
--- a/testing/features/fleet_limits.feature
+++ b/testing/features/fleet_limits.feature
@@ -10,6 +10,20 @@
   Scenario: Load probes of a target stay within their rate
     Then for every sequence of probes each window stays within the rate and the burst
 
+  Scenario Outline: Pattern "few requests for each of many entries": an entry may probe its near targets before each request
+    When <entries> entries share the probes of <targets> targets that take 60 a second, with 12 near targets each
+    Then an entry may send <per_target> probes a second to a near target, and all of them 60 for each target
+
+    Examples:
+      | entries | targets | per_target |
+      | 3       | 6       | 20         |
+      | 15      | 12      | 4          |
+      | 15      | 6       | 4          |
+      | 131     | 104     | 3.97       |
+      | 312     | 259     | 4.15       |
+      | 1000    | 1000    | 5          |
+      | 312     | 0       | 0.19       |
+
   Scenario: Entries that restart stay in the count
     Then an entry is counted for 30 s after it was last seen, and hard limits have no share before any is known
 
--- a/testing/features/steps/fleet_limits_steps.py
+++ b/testing/features/steps/fleet_limits_steps.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from kingcupusher._discovery.live_entries import LiveEntries
+from kingcupusher._limits.probe_shares import probe_shares
 from kingcupusher._limits.send_window import SendQuota, SendWindow
 from kingcupusher._limits.shares import NO_SHARE, EntryRank
 from kingcupusher._limits.target_quotas import cold_quota, rate_quota
@@ -126,6 +127,27 @@
     assert not live_entries.is_known(now_ms=50_001.0)
 
 
+@when(
+    "{entries:d} entries share the probes of {targets:d} targets that take {per_s:d} a second, with"
+    " {near:d} near targets each"
+)
+def when_probes_shared(context, entries, targets, per_s, near):
+    context.entries, context.targets = entries, targets
+    context.shares = probe_shares(per_s, entries=entries, targets=targets, near_count=near)
+
+
+@then(
+    "an entry may send {per_target:g} probes a second to a near target, and all of them {per_s:d}"
+    " for each target"
+)
+def then_probe_shares(context, per_target, per_s):
+    # Guards against equal shares of each target: in a large fleet they are too small for the near
+    # targets, so that each request opens connections to targets that the entry seldom uses.
+    assert abs(context.shares.per_target_per_s - per_target) < 0.01, context.shares
+    total_per_s = context.shares.per_service_per_s * context.entries
+    assert abs(total_per_s - per_s * context.targets) < 1e-6, context.shares
+
+
 def _reading(running, waiting, slowness_percent):
     return LoadReading(
         running=running,
--- a/testing/features/steps/relay_size_steps.py
+++ b/testing/features/steps/relay_size_steps.py
@@ -36,6 +36,7 @@
         self.catalog.route_table = route_table(version=0)
 
     async def start(self):
+        """Subscribe."""
         await curio.spawn(self._subscriptions.run, daemon=True)
         await curio.spawn(self._record_list_sizes, daemon=True)
 
@@ -45,10 +46,12 @@
             await curio.sleep(0.01)
 
     def listed(self):
+        """Return the entries that this one knows."""
         return self.catalog.live_entries.names(now_ms=now_ms())
 
     @property
     def received_bytes(self):
+        """Bytes that the links have carried to this entry."""
         return self._subscriptions.counters.received_bytes
 
 
@@ -69,17 +72,20 @@
         self.subscribers = []
 
     async def start(self):
+        """Follow the store and accept subscribers."""
         for component in self._components:
             await curio.spawn(component.run, daemon=True)
         await curio.sleep(0.1)
 
     async def subscribe(self, count=1):
+        """Add subscribers."""
         for _ in range(count):
             name = f"frontend-of-a-large-fleet-{len(self.subscribers)}"
             self.subscribers.append(Subscriber(name, self.address, self.store))
             await self.subscribers[-1].start()
 
     async def wait_until_listed(self, count, *, within_s):
+        """Wait until each subscriber lists ``count`` entries."""
         async with curio.ignore_after(within_s):
             while any(len(s.listed()) != count for s in self.subscribers):
                 await curio.sleep(0.02)
