Let entries that start together look for a reader before they read the store at full price

Cause: an entry took its first, stale read as 1 s old, so that it read the store itself 0.6 s later. When all entries start together no reader can be known by then, and each of 312 made a call at full price. Change: for 2 s after its first read an entry looks for a reader, with stale reads of the reader slots, and only then reads the store. Rules with a time bound hold from 3 s after a start. The delays before an entry acquires a slot are kept as a time instead of a sleep, so that it notices at once when it has become needless. Test: of 12 entries that start together, 11 that were not readers watched the store before, none now. The relay and discovery features pass.

--- a/src/kingcupusher/_discovery/follower.py
+++ b/src/kingcupusher/_discovery/follower.py
@@ -33,7 +33,10 @@
 """Delays after failed calls; the end of an outage must be detected within the 2 s grace period."""
 CHECK_INTERVAL_S = 0.1
 STALE_READ_AGE_MS = 1_000.0
-"""Assumed age of the result of a stale read; it leaves 0.6 s to find a reader."""
+"""Assumed age of the result of a stale read."""
+READER_SEARCH_MS = 2_000.0
+"""An entry that has just started looks for a reader for this time before it reads the store at
+full price. Changes are due 3 s after its start."""
 HISTORY_LENGTH = 256
 
 
@@ -92,6 +95,7 @@
         "_reregistration_until_ms",
         "_response_timeout_ms",
         "_retry_delay_s",
+        "_search_until_ms",
         "_source",
         "confirmed_ms",
         "position",
@@ -116,6 +120,7 @@
         self._history: list[ChangeBatch] = []
         self._reregistration_until_ms = 0.0
         self._must_read_all = False
+        self._search_until_ms = 0.0
         self.position: StorePosition | None = None
         self.confirmed_ms = 0.0
         self.updated = curio.Event()
@@ -138,6 +143,8 @@
     def _must_read(self, now_ms: float) -> bool:
         if self._is_reader() or self._must_read_all:
             return True
+        if now_ms < self._search_until_ms:
+            return False
         return now_ms - self.confirmed_ms > MAX_CONFIRMATION_AGE_MS
 
     async def _read(self) -> None:
@@ -146,6 +153,7 @@
             # The first state may be old, as the watch that follows returns the missing changes.
             batch = await self._source.read_all_stale(timeout_ms=self._response_timeout_ms)
             if self.position is None:
+                self._search_until_ms = now_ms() + READER_SEARCH_MS
                 await self._apply_read(batch, confirmed_ms=sent_ms - STALE_READ_AGE_MS)
             return
         if self._must_read_all:
--- a/src/kingcupusher/_relay/messages.py
+++ b/src/kingcupusher/_relay/messages.py
@@ -72,10 +72,11 @@
 
 def decode(data: bytes) -> RelayMessage:
     """Decode a message; raise :class:`MessageError` if it is malformed or of unknown type."""
-    message = _decode_as(data, RelayMessage | Compressed)
-    if isinstance(message, Compressed):
-        message = _decode_as(_decompress(message.data), RelayMessage)
-    return message
+    message: RelayMessage | Compressed = _decode_as(data, RelayMessage | Compressed)
+    if not isinstance(message, Compressed):
+        return message
+    decompressed: RelayMessage = _decode_as(_decompress(message.data), RelayMessage)
+    return decompressed
 
 
 def _decode_as(data: bytes, kind: Any) -> Any:
--- a/src/kingcupusher/_relay/reader_slots.py
+++ b/src/kingcupusher/_relay/reader_slots.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from math import inf
 from random import Random
 from typing import Protocol
 
@@ -20,13 +21,16 @@
 LEASE_TTL_MS = 6_000.0
 RENEWAL_INTERVAL_MS = 2_000.0
 CHECK_INTERVAL_S = 0.25
-MAX_RANDOM_DELAY_S = 1.0
+MAX_RANDOM_DELAY_MS = 1_000.0
 """Entries wait a random time of up to this length, so that few try to acquire a slot at once."""
-COVERED_ZONE_DELAY_S = 1.5
+COVERED_ZONE_DELAY_MS = 1_500.0
 """An entry whose zone has a reader leaves a vacant slot to other zones for this time."""
 RETRY_DELAY_S = 2.0
-NARROW_LINK_DELAY_S = 3.0
+NARROW_LINK_DELAY_MS = 3_000.0
 """An entry with a slow link leaves a vacant slot to others for up to this time."""
+SEARCH_DELAY_MS = 800.0
+"""Interval between stale reads of the slots while no reader is known, at least; up to one and a
+half times as long. Without readers, each entry would read the store at full price."""
 SUBSCRIPTION_DELAY_MS = 5_000.0
 """Time for subscribers to connect to a new reader; one without any is the only entry."""
 REQUIRED_LINK_MBPS = 20.0
@@ -47,18 +51,21 @@
 
 
 class ReaderSlot:
-    """Acquires a vacant reader slot and holds it."""
+    """Acquires a vacant reader slot and holds it; finds the readers while none is known."""
 
     __slots__ = (
+        "_acquire_at_ms",
         "_address",
         "_catalog",
         "_entry",
         "_held_since_ms",
         "_lease",
-        "_link_delay_s",
+        "_has_waited",
+        "_link_delay_ms",
         "_on_event",
         "_renewal_ms",
         "_rng",
+        "_search_at_ms",
         "_slot",
         "_store",
         "_zone",
@@ -81,13 +88,16 @@
         self._entry = entry
         self._zone = zone
         self._address = address
-        self._link_delay_s = NARROW_LINK_DELAY_S * min(1.0, REQUIRED_LINK_MBPS / link_mbps)
+        self._link_delay_ms = NARROW_LINK_DELAY_MS * min(1.0, REQUIRED_LINK_MBPS / link_mbps)
         self._rng = rng
         self._on_event = on_event
         self._slot: int | None = None
         self._lease = 0
         self._held_since_ms = 0.0
         self._renewal_ms = 0.0
+        self._acquire_at_ms = inf
+        self._has_waited = False
+        self._search_at_ms = inf
 
     @property
     def is_held(self) -> bool:
@@ -110,12 +120,33 @@
             await self._renew_if_due()
         elif (held := self._find_own_slot()) is not None:
             await self._resume(held)
-        elif self._catalog.has_routes and self._find_vacant_slot() is not None:
-            zone_delay_s = self._zone_delay_s()
-            random_delay_s = self._rng.random() * MAX_RANDOM_DELAY_S
-            await curio.sleep(random_delay_s + zone_delay_s + self._link_delay_s)
-            if self._find_vacant_slot() is not None:
-                await self._acquire(has_waited=zone_delay_s > 0.0)
+        elif self._catalog.has_routes:
+            await self._search_if_due()
+            await self._acquire_if_due()
+
+    async def _search_if_due(self) -> None:
+        """Read the slots while no reader is known, as after a start of all entries at once."""
+        if self._catalog.readers:
+            self._search_at_ms = inf
+            return
+        if now_ms() >= self._search_at_ms:
+            self._catalog.apply(await self._store.list_reader_slots(), now_ms=now_ms())
+            self._search_at_ms = inf
+        if self._search_at_ms == inf:
+            self._search_at_ms = now_ms() + SEARCH_DELAY_MS * (1.0 + self._rng.random() / 2.0)
+
+    async def _acquire_if_due(self) -> None:
+        """Acquire a slot that has been vacant for the delay of this entry."""
+        if self._find_vacant_slot() is None:
+            self._acquire_at_ms = inf
+        elif self._acquire_at_ms == inf:
+            zone_delay_ms = self._zone_delay_ms()
+            self._has_waited = zone_delay_ms > 0.0
+            random_delay_ms = self._rng.random() * MAX_RANDOM_DELAY_MS
+            self._acquire_at_ms = now_ms() + random_delay_ms + zone_delay_ms + self._link_delay_ms
+        elif now_ms() >= self._acquire_at_ms:
+            self._acquire_at_ms = inf
+            await self._acquire(has_waited=self._has_waited)
 
     def _hold(self, slot: int, lease: int) -> None:
         self._slot, self._lease = slot, lease
@@ -142,9 +173,9 @@
     def _find_vacant_slot(self) -> int | None:
         return next((i for i in range(SLOT_COUNT) if i not in self._catalog.readers), None)
 
-    def _zone_delay_s(self) -> float:
+    def _zone_delay_ms(self) -> float:
         zones = {reader.zone for reader in self._catalog.readers.values()}
-        return COVERED_ZONE_DELAY_S if self._zone in zones else 0.0
+        return COVERED_ZONE_DELAY_MS if self._zone in zones else 0.0
 
     async def _acquire(self, *, has_waited: bool) -> None:
         """Acquire a slot, unless the zone of this entry has got a reader meanwhile."""
--- a/testing/features/relay.feature
+++ b/testing/features/relay.feature
@@ -7,6 +7,11 @@
     And every entry lists all 6 entries
     And the steps pass when they are run
 
+  Scenario: Pattern "all entries start at once": only readers watch the store
+    Given 12 entries in 3 zones that follow a store
+    Then only readers have watched the store since the start
+    And the steps pass when they are run
+
   Scenario Outline: A change reaches every entry in time although <fault>
     Given 6 entries in 3 zones that follow a store
     When this fault occurs: <fault>
--- a/testing/features/steps/relay_steps.py
+++ b/testing/features/steps/relay_steps.py
@@ -151,6 +151,19 @@
     context.steps.append(check)
 
 
+@then("only readers have watched the store since the start")
+def then_only_readers_watch(context):
+    # Guards against a call at full price by each of hundreds of entries after they all restart.
+    async def check(cluster):
+        await curio.sleep(2.5)
+        assert cluster.store.watching_entries <= set(cluster.readers()), (
+            cluster.store.watching_entries,
+            cluster.readers(),
+        )
+
+    context.steps.append(check)
+
+
 @then("every entry lists all {count:d} entries")
 def then_entry_list(context, count):
     async def check(cluster):
--- a/testing/gateway/store.py
+++ b/testing/gateway/store.py
@@ -27,6 +27,7 @@
         self.unavailable_for = set()
         self.unresponsive_for = set()
         self.slot_leases = {}
+        self.watching_entries = set()
 
     def write(self, key, change):
         """Write ``change`` under ``key``."""
@@ -89,6 +90,7 @@
     async def wait_for_changes(self, *, after, wait_ms, timeout_ms):
         """Wait for events after a position."""
         end_ms = now_ms() + wait_ms
+        self.store.watching_entries.add(self.entry)
         await self._call(wait_ms + timeout_ms)
         while self.store.position == after and now_ms() < end_ms:
             await curio.sleep(0.005)
