Use recent load readings while an entry has few probes left

Change: below half of the saved probes, a request may use a target's last reading, up to 250 ms old as the last probe is spent, with the entry's own running requests added. A connection counts as reusable also when nothing was sent on it.

--- a/src/kingcupusher/_gateway/attempt.py
+++ b/src/kingcupusher/_gateway/attempt.py
@@ -93,6 +93,8 @@
             result = AttemptResult(self, AttemptOutcome.BROKEN, reason=str(error))
         finally:
             self.ended_ms = now_ms()
+            if self.probed.claimed_ms is not None:
+                client.sends.finish(self.probed.claimed_ms)
             await client.pool.release(connection, reusable=is_complete)
         if result.outcome is AttemptOutcome.SUCCESS:
             return result
--- a/src/kingcupusher/_gateway/load_probe.py
+++ b/src/kingcupusher/_gateway/load_probe.py
@@ -14,6 +14,7 @@
 from kingcupusher._http.client_connection import ClientConnection
 from kingcupusher._http.errors import HttpError, PoolLimitError, ResetError
 from kingcupusher._routing.load_reading import LoadReading
+from kingcupusher._routing.reading_reuse import with_later_requests
 
 PROBE_TIMEOUT_MS = 150.0
 """Probes without a response for this long count as failed."""
@@ -25,10 +26,10 @@
 class ProbedTarget:
     """A target that responded to a load probe, and the open connection to it.
 
-    ``is_claimed`` tells that a request to it is counted already.
+    ``claimed_ms`` is when a request to it was counted, None before.
     """
 
-    __slots__ = ("connection", "client", "is_claimed", "reading")
+    __slots__ = ("claimed_ms", "client", "connection", "reading")
 
     def __init__(
         self, client: TargetClient, connection: ClientConnection, reading: LoadReading
@@ -36,7 +37,7 @@
         self.client = client
         self.connection = connection
         self.reading = reading
-        self.is_claimed = False
+        self.claimed_ms: float | None = None
 
     @property
     def target(self) -> Target:
@@ -62,6 +63,21 @@
         self.probe_count += len(targets)
         return await round_.run(targets, deadline_ms=min(deadline_ms, now_ms() + PROBE_TIMEOUT_MS))
 
+    async def reuse_reading(self, target: Target, *, max_age_ms: float) -> ProbedTarget | None:
+        """Return ``target`` with its last reading instead of a probe, or None if it is too old.
+
+        A target that has restarted has closed its connections, so that it is probed again.
+        """
+        client = self._clients.get(target)
+        reading = client.recent_reading(max_age_ms=max_age_ms, now_ms=now_ms())
+        if reading is None:
+            return None
+        connection = await client.pool.acquire_idle(max_idle_ms=max_age_ms)
+        if connection is None:
+            return None
+        later_count = client.sends.running_after(reading.read_ms)
+        return ProbedTarget(client, connection, with_later_requests(reading, later_count))
+
     async def release(self, results: Collection[ProbedTarget]) -> None:
         """Return the connections of ``results`` to their pools."""
         for probed in results:
@@ -159,7 +175,7 @@
             parsed = self._header_codec.parse_probe_response(response, now_ms=now_ms())
             is_target = parsed is not None and parsed.target_id == client.target.target_id
             if parsed is not None and is_target and connection.is_complete():
-                self._clients.record_rate_limit(client, parsed.reading)
+                self._clients.record_reading(client, parsed.reading)
                 probed = ProbedTarget(client, connection, parsed.reading)
         finally:
             if probed is None:
--- a/src/kingcupusher/_gateway/request_quotas.py
+++ b/src/kingcupusher/_gateway/request_quotas.py
@@ -39,14 +39,14 @@
         """Count a request to the target; return False if there is no room for it."""
         if not self.has_room(probed, service):
             return False
-        probed.client.sends.add(now_ms=now_ms())
-        probed.is_claimed = True
+        probed.claimed_ms = now_ms()
+        probed.client.sends.add(now_ms=probed.claimed_ms)
         return True
 
     def refund(self, probed: ProbedTarget) -> None:
         """Undo :meth:`claim` because the request was not sent."""
-        if probed.is_claimed:
-            probed.is_claimed = False
+        if probed.claimed_ms is not None:
+            probed.claimed_ms = None
             probed.client.sends.remove_newest()
 
     def is_exhausted(self, client: TargetClient) -> bool:
--- a/src/kingcupusher/_gateway/selector.py
+++ b/src/kingcupusher/_gateway/selector.py
@@ -16,6 +16,7 @@
 from kingcupusher._limits.probe_shares import probe_shares
 from kingcupusher._limits.token_bucket import TokenBucket
 from kingcupusher._routing.acceptance import MAX_FAIR_COST, MAX_GOOD_COST, AcceptanceCriteria
+from kingcupusher._routing.reading_reuse import MAX_REUSE_AGE_MS, max_reuse_age_ms
 from kingcupusher._routing.selection import PROBE_ORDERS, target_cost
 
 PROBE_COUNT = 5
@@ -117,7 +118,10 @@
         deadline_ms: float,
         count: int = PROBE_COUNT,
     ) -> ProbeResults:
-        """Probe ``count`` targets, and further ones if none of them is good."""
+        """Probe ``count`` targets, and further ones if none of them is good.
+
+        While probes are scarce, recent readings are used first, and probes only if none is good.
+        """
         started_ms = now_ms()
         order = self._probe_order(service, exclude)
         results: list[ProbedTarget] = []
@@ -127,15 +131,15 @@
                 batch = order[first : first + count]
                 if first and results:
                     batch = [t for t in batch if not self._is_suspended(t)]
-                batch = [t for t in batch if self._take_probe(t)]
+                reused = await self._reuse_readings(batch, results)
+                if self._has_good_target(service, results):
+                    break
+                batch = [t for t in batch if t not in reused and self._take_probe(t)]
                 probed_count += len(batch)
                 results += await self._prober.probe(
                     batch, health_path=service.health_path, deadline_ms=deadline_ms
                 )
-                lowest_cost = min(
-                    map(self.cost, self._filter_usable(service, results)), default=inf
-                )
-                if lowest_cost <= MAX_GOOD_COST:
+                if self._has_good_target(service, results):
                     break
         except BaseException:
             await self.release(results)
@@ -159,6 +163,28 @@
             self.quotas.refund(probed)
         await self._prober.release(results)
 
+    async def _reuse_readings(
+        self, targets: Sequence[Target], results: list[ProbedTarget]
+    ) -> list[Target]:
+        """Add those of ``targets`` to ``results`` whose last readings are recent enough."""
+        reused = []
+        for target in targets:
+            max_age_ms = self._max_reuse_age_ms(self._clients.get(target))
+            probed = await self._prober.reuse_reading(target, max_age_ms=max_age_ms)
+            if probed is not None:
+                results.append(probed)
+                reused.append(target)
+        return reused
+
+    def _max_reuse_age_ms(self, client: TargetClient) -> float:
+        """Return how old a reading of the target may be, as its probes or all are scarce."""
+        tokens = self._probe_tokens[client.target.record.service], client.probe_tokens
+        return max_reuse_age_ms(min(t.saved_share(now_ms=now_ms()) for t in tokens))
+
+    def _has_good_target(self, service: ServiceConfig, results: Sequence[ProbedTarget]) -> bool:
+        costs = map(self.cost, self._filter_usable(service, results))
+        return min(costs, default=inf) <= MAX_GOOD_COST
+
     def _take_probe(self, target: Target) -> bool:
         """Count a probe of ``target``; return False if the service has no probes left."""
         current_ms = now_ms()
@@ -187,7 +213,9 @@
             )
             if self.quotas.is_exhausted(client):
                 continue
-            if client.probe_tokens.has_token(now_ms=current_ms):
+            if client.probe_tokens.has_token(now_ms=current_ms) or client.recent_reading(
+                max_age_ms=MAX_REUSE_AGE_MS, now_ms=current_ms
+            ):
                 candidates.append(self._create_candidate(client, current_ms))
         ordered = PROBE_ORDERS.get(PROBE_ORDER).order(
             candidates, entry=self._entry, top_k=NEAR_COUNT, rng=self._rng
--- a/src/kingcupusher/_gateway/target_clients.py
+++ b/src/kingcupusher/_gateway/target_clients.py
@@ -32,6 +32,7 @@
         "_connection_limit",
         "_rank",
         "_ranked_entries",
+        "last_reading",
         "probe_tokens",
         "max_requests_per_s",
         "pool",
@@ -47,6 +48,7 @@
         self.pool = ConnectionPool(target.record.address, limit=limit, max_idle_ms=DEFAULT_IDLE_MS)
         self.sends = SendWindow()
         self.probe_tokens = TokenBucket(per_s=0.0, burst=INITIAL_PROBE_TOKENS, now_ms=0.0)
+        self.last_reading: LoadReading | None = None
         self.max_requests_per_s: float | None = None
         self.rate_limit_read_ms = 0.0
         self.suspended_until_ms = 0.0
@@ -76,6 +78,13 @@
             self._ranked_entries = entries
         return self._rank
 
+    def recent_reading(self, *, max_age_ms: float, now_ms: float) -> LoadReading | None:
+        """Return the last reading if it is at most ``max_age_ms`` old, and newer than a failure."""
+        reading = self.last_reading
+        if reading is None or now_ms - reading.read_ms > max_age_ms:
+            return None
+        return reading if reading.read_ms > self._last_failure_ms else None
+
     def is_suspended(self, *, now_ms: float) -> bool:
         """Whether the target failed recently, so that others are preferred."""
         return now_ms < self.suspended_until_ms
@@ -114,8 +123,9 @@
         self._clients[target.target_id] = client
         return client
 
-    def record_rate_limit(self, client: TargetClient, reading: LoadReading) -> None:
-        """Record the request rate that the target states in its latest load reading."""
+    def record_reading(self, client: TargetClient, reading: LoadReading) -> None:
+        """Record the latest load reading, with the request rate that the target states in it."""
+        client.last_reading = reading
         client.rate_limit_read_ms = reading.read_ms
         before, max_requests_per_s = client.max_requests_per_s, reading.max_requests_per_s
         if max_requests_per_s == before:
--- a/src/kingcupusher/_http/client_connection.py
+++ b/src/kingcupusher/_http/client_connection.py
@@ -121,9 +121,9 @@
                 continue
 
     def is_complete(self) -> bool:
-        """Whether the exchange is complete and the connection can take another request."""
+        """Whether no exchange has begun or it is complete, so that a request can be sent."""
         http = self._http
-        ended = http.our_state is h11.DONE and http.their_state is h11.DONE
+        ended = http.our_state is http.their_state and http.our_state in (h11.IDLE, h11.DONE)
         is_reusable = not self.is_aborted and not self._had_duplicate_response
         return ended and not http.trailing_data[0] and is_reusable
 
@@ -145,8 +145,9 @@
         return self.is_reused and not self.has_received
 
     def start_next_request(self) -> None:
-        """Reset the parser for the next request."""
-        self._http.start_next_cycle()
+        """Reset the parser for the next request, unless that was done already."""
+        if self._http.our_state is not h11.IDLE:
+            self._http.start_next_cycle()
         self.is_reused = True
         self.has_received = False
 
--- a/src/kingcupusher/_http/pool.py
+++ b/src/kingcupusher/_http/pool.py
@@ -53,6 +53,16 @@
             await self._discard(connection)
         return await self.open_new(deadline_ms=deadline_ms)
 
+    async def acquire_idle(self, *, max_idle_ms: float) -> ClientConnection | None:
+        """Return an open connection that was idle for at most ``max_idle_ms``, or None."""
+        oldest_ms = now_ms() - max_idle_ms
+        while self._idle and self._idle[-1].idle_since_ms >= oldest_ms:
+            connection = self._idle.pop()
+            if connection.is_idle_and_open():
+                return connection
+            await self._discard(connection)
+        return None
+
     async def open_new(self, *, deadline_ms: float) -> ClientConnection:
         """Open a new connection; raises the same errors as :meth:`acquire`."""
         if self._closed or self._open_count >= self.limit:
--- a/src/kingcupusher/_limits/send_window.py
+++ b/src/kingcupusher/_limits/send_window.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from collections.abc import Collection
+from contextlib import suppress
 
 from msgspec import Struct
 
@@ -19,23 +20,34 @@
 
 
 class SendWindow:
-    """Times at which this entry sent requests to one target."""
+    """Times at which this entry sent requests to one target, and which of them are running."""
 
-    __slots__ = ("_sent_ms",)
+    __slots__ = ("_running_ms", "_sent_ms")
 
     def __init__(self) -> None:
         self._sent_ms: deque[float] = deque()
+        self._running_ms: deque[float] = deque()
 
     def add(self, *, now_ms: float) -> None:
-        """Count a request."""
-        self._sent_ms.append(now_ms)
-        while self._sent_ms[0] <= now_ms - RETENTION_MS:
-            self._sent_ms.popleft()
+        """Count a request, which runs until :meth:`finish`."""
+        for times_ms in (self._sent_ms, self._running_ms):
+            times_ms.append(now_ms)
+            while times_ms[0] <= now_ms - RETENTION_MS:
+                times_ms.popleft()
+
+    def finish(self, sent_ms: float) -> None:
+        """Record the end of a request that was sent at ``sent_ms``."""
+        with suppress(ValueError):
+            self._running_ms.remove(sent_ms)
 
     def remove_newest(self) -> None:
         """Remove the newest request from the count because it was not sent."""
         if self._sent_ms:
-            self._sent_ms.pop()
+            self.finish(self._sent_ms.pop())
+
+    def running_after(self, time_ms: float) -> int:
+        """Return how many requests were sent after ``time_ms`` and are running."""
+        return sum(sent_ms > time_ms for sent_ms in self._running_ms)
 
     def has_room(self, quotas: Collection[SendQuota], *, now_ms: float) -> bool:
         """Return whether one more request stays within all ``quotas``."""
--- a/src/kingcupusher/_limits/token_bucket.py
+++ b/src/kingcupusher/_limits/token_bucket.py
@@ -26,6 +26,11 @@
         self._refilled_ms = now_ms
         return self._tokens >= 1.0
 
+    def saved_share(self, *, now_ms: float) -> float:
+        """Return how full the bucket is, from 0 to 1."""
+        self.has_token(now_ms=now_ms)
+        return self._tokens / self._burst
+
     def try_take(self, *, now_ms: float) -> bool:
         """Take a token; return False if there is none."""
         if not self.has_token(now_ms=now_ms):
--- a/testing/features/fleet_limits.feature
+++ b/testing/features/fleet_limits.feature
@@ -24,6 +24,9 @@
       | 1000    | 1000    | 5          |
       | 312     | 0       | 0.19       |
 
+  Scenario: Pattern "a crowd uses up the load probes": readings may be older the fewer probes are left
+    Then readings are reused up to an age that rises from 0 to 250 ms while probes are scarce
+
   Scenario: Entries that restart stay in the count
     Then an entry is counted for 30 s after it was last seen, and hard limits have no share before any is known
 
--- a/testing/features/gateway.feature
+++ b/testing/features/gateway.feature
@@ -120,6 +120,17 @@
     When a caller sends it a transfer
     Then only the first target got it, 1 time
 
+  Scenario: Pattern "a crowd uses up the load probes": requests go by recent readings while targets have room
+    Given a gateway whose targets take 10 probes in 12 s, with these targets: healthy,healthy
+    When a caller sends it 60 lookups
+    Then all of them are served after at most 20 probes, and both targets ran some
+
+  Scenario: Pattern "a crowd uses up the load probes": a target that has turned slow is left by its next reading
+    Given a gateway whose targets take 10 probes in 12 s, with these targets: healthy,healthy
+    And the first target is slow now
+    When a caller sends it 60 lookups
+    Then the first target got at most 2 of them
+
   Scenario: Pattern "all targets crowded": requests wait instead of overloading the targets
     Given a gateway with these targets: healthy
     And the target is busy for 100 ms
--- a/testing/features/steps/fleet_limits_steps.py
+++ b/testing/features/steps/fleet_limits_steps.py
@@ -17,6 +17,7 @@
 from kingcupusher._limits.windowed_retry import WindowedRetryBudget
 from kingcupusher._routing.acceptance import AcceptanceCriteria
 from kingcupusher._routing.load_reading import LoadReading, expected_slowness
+from kingcupusher._routing.reading_reuse import max_reuse_age_ms
 from testing.properties import check_property
 
 GAPS_MS = st.one_of(st.just(0.0), st.floats(0.0, 50.0), st.floats(0.0, 3_000.0))
@@ -148,6 +149,20 @@
     assert abs(total_per_s - per_s * context.targets) < 1e-6, context.shares
 
 
+@then(
+    "readings are reused up to an age that rises from 0 to {bound_ms:g} ms while probes are scarce"
+)
+def then_reuse_age(context, bound_ms):
+    # Guards against old readings while there are probes, and against none when there are not.
+    table = [(1.0, 0.0), (0.5, 0.0), (0.25, bound_ms / 2.0), (0.0, bound_ms)]
+    for saved_share, expected_ms in table:
+        assert max_reuse_age_ms(saved_share) == expected_ms, saved_share
+    bucket = TokenBucket(per_s=1.0, burst=10.0, now_ms=0.0)
+    assert all(bucket.try_take(now_ms=0.0) for _ in range(6))
+    assert bucket.saved_share(now_ms=0.0) == 0.4
+    assert bucket.saved_share(now_ms=1_000.0) == 0.5
+
+
 def _reading(running, waiting, slowness_percent):
     return LoadReading(
         running=running,
--- a/testing/features/steps/gateway_steps.py
+++ b/testing/features/steps/gateway_steps.py
@@ -86,6 +86,22 @@
     _set_up(context, targets.split(","), fleet_limits=fleet_limits)
 
 
+@given("a gateway whose targets take {count:d} probes in 12 s, with these targets: {targets}")
+def given_few_probes(context, count, targets):
+    # An entry uses 0.85 of the rate and saves the probes of 12 s.
+    fleet_limits = FleetLimits(retry_slack=320.0, probes_per_s=count / 12.0 / 0.85)
+    _set_up(context, targets.split(","), fleet_limits=fleet_limits)
+
+
+@then("all of them are served after at most {bound:d} probes, and both targets ran some")
+def then_served_by_readings(context, bound):
+    # Guards against requests that are refused because no probe is left, although targets are free.
+    assert all(status == 200 for status, _, _ in context.responses), context.responses
+    targets = context.fixture.targets
+    assert sum(target.probe_count for target in targets) <= bound
+    assert all(len(target.executed) >= 5 for target in targets), [t.executed for t in targets]
+
+
 @given("classifying responses raises an unexpected error")
 def given_internal_error(context):
     async def prepare(fixture):
