--- a/src/kingcupusher/_gateway/attempt.py
+++ b/src/kingcupusher/_gateway/attempt.py
@@ -77,7 +77,7 @@
         self._body = body
         self._request_id = request_id
         self._header_codec = header_codec
-        self.sent_ms = 0.0
+        self.sent_ms = now_ms()
         self.ended_ms = 0.0
 
     async def run(self, *, deadline_ms: float) -> AttemptResult:
