Move the load probes that an entry may send out of the target selector

Change: ProbeAllowance holds the token buckets of services and decides how old a reading may be; no behavior changes.

--- a/src/kingcupusher/_gateway/selector.py
+++ b/src/kingcupusher/_gateway/selector.py
@@ -10,13 +10,11 @@
 from kingcupusher._discovery import Catalog, ServiceConfig, Target
 from kingcupusher._gateway.fleet_limits import FleetLimits
 from kingcupusher._gateway.load_probe import LoadProber, ProbedTarget
+from kingcupusher._gateway.probe_allowance import BURST_S, ProbeAllowance
 from kingcupusher._gateway.request_quotas import RequestQuotas
 from kingcupusher._gateway.target_clients import TargetClient, TargetClients
 from kingcupusher._limits import connection_share
-from kingcupusher._limits.probe_shares import probe_shares
-from kingcupusher._limits.token_bucket import TokenBucket
 from kingcupusher._routing.acceptance import MAX_FAIR_COST, MAX_GOOD_COST, AcceptanceCriteria
-from kingcupusher._routing.reading_reuse import MAX_REUSE_AGE_MS, max_reuse_age_ms
 from kingcupusher._routing.selection import PROBE_ORDERS, target_cost
 
 PROBE_COUNT = 5
@@ -27,10 +25,6 @@
 MAX_QUEUED = 3
 """A target with this many queued requests or more is not used: it may soon refuse some."""
 PROBE_ORDER = "zone_first"
-PROBE_RATE_SHARE = 0.85
-"""Used share of the probe rate; the margin covers the full token buckets of new entries."""
-PROBE_BURST_S = 12.0
-"""Unused probes are saved for load peaks, since the limit applies to the daily average."""
 CONNECTION_SHARE = 0.6
 """Used share of a target's connections; a target with a long queue accepts fewer."""
 
@@ -76,11 +70,10 @@
     """Finds the targets with the lowest expected response time."""
 
     __slots__ = (
+        "_allowance",
         "_catalog",
         "_clients",
         "_entry",
-        "_limits",
-        "_probe_tokens",
         "_prober",
         "_rng",
         "_zone",
@@ -103,9 +96,10 @@
         self._prober = prober
         self._entry = entry
         self._zone = zone
-        self._limits = fleet_limits
         self._rng = rng
-        self._probe_tokens: dict[str, TokenBucket] = {}
+        self._allowance = ProbeAllowance(
+            probes_per_s=fleet_limits.probes_per_s, near_count=2 * NEAR_COUNT
+        )
         self.quotas = RequestQuotas(
             catalog, clients, entry=entry, cold_overshoot=fleet_limits.cold_overshoot
         )
@@ -134,7 +128,11 @@
                 reused = await self._reuse_readings(batch, results)
                 if self._has_good_target(service, results):
                     break
-                batch = [t for t in batch if t not in reused and self._take_probe(t)]
+                batch = [
+                    t
+                    for t in batch
+                    if t not in reused and self._allowance.take(self._clients.get(t))
+                ]
                 probed_count += len(batch)
                 results += await self._prober.probe(
                     batch, health_path=service.health_path, deadline_ms=deadline_ms
@@ -169,29 +167,17 @@
         """Add those of ``targets`` to ``results`` whose last readings are recent enough."""
         reused = []
         for target in targets:
-            max_age_ms = self._max_reuse_age_ms(self._clients.get(target))
+            max_age_ms = self._allowance.max_reuse_age_ms(self._clients.get(target))
             probed = await self._prober.reuse_reading(target, max_age_ms=max_age_ms)
             if probed is not None:
                 results.append(probed)
                 reused.append(target)
         return reused
 
-    def _max_reuse_age_ms(self, client: TargetClient) -> float:
-        """Return how old a reading of the target may be, as its probes or all are scarce."""
-        tokens = self._probe_tokens[client.target.record.service], client.probe_tokens
-        return max_reuse_age_ms(min(t.saved_share(now_ms=now_ms()) for t in tokens))
-
     def _has_good_target(self, service: ServiceConfig, results: Sequence[ProbedTarget]) -> bool:
         costs = map(self.cost, self._filter_usable(service, results))
         return min(costs, default=inf) <= MAX_GOOD_COST
 
-    def _take_probe(self, target: Target) -> bool:
-        """Count a probe of ``target``; return False if the service has no probes left."""
-        current_ms = now_ms()
-        if not self._probe_tokens[target.record.service].try_take(now_ms=current_ms):
-            return False
-        return self._clients.get(target).probe_tokens.try_take(now_ms=current_ms)
-
     def _is_suspended(self, target: Target) -> bool:
         return self._clients.get(target).is_suspended(now_ms=now_ms())
 
@@ -199,7 +185,9 @@
         current_ms = now_ms()
         entries = self._catalog.live_entries.count(now_ms=current_ms)
         targets = self._catalog.usable_targets(service.name)
-        per_target_per_s = self._share_probes(service, entries=entries, targets=len(targets))
+        per_target_per_s = self._allowance.share(
+            service.name, entries=entries, targets=len(targets)
+        )
         connections = self._connections_per_target(service, entries)
         candidates = []
         for target in targets:
@@ -208,36 +196,18 @@
             client = self._clients.get(target)
             client.set_limits(
                 probes_per_s=per_target_per_s,
-                probe_burst=max(1.0, per_target_per_s * PROBE_BURST_S),
+                probe_burst=max(1.0, per_target_per_s * BURST_S),
                 connections=connections,
             )
             if self.quotas.is_exhausted(client):
                 continue
-            if client.probe_tokens.has_token(now_ms=current_ms) or client.recent_reading(
-                max_age_ms=MAX_REUSE_AGE_MS, now_ms=current_ms
-            ):
+            if self._allowance.has_reading_or_probe(client):
                 candidates.append(self._create_candidate(client, current_ms))
         ordered = PROBE_ORDERS.get(PROBE_ORDER).order(
             candidates, entry=self._entry, top_k=NEAR_COUNT, rng=self._rng
         )
         return [candidate.target for candidate in ordered]
 
-    def _share_probes(self, service: ServiceConfig, *, entries: int, targets: int) -> float:
-        """Set the rate of probes to the service; return the rate of probes to each target."""
-        shares = probe_shares(
-            self._limits.probes_per_s * PROBE_RATE_SHARE,
-            entries=entries,
-            targets=targets,
-            near_count=2 * NEAR_COUNT,
-        )
-        burst = max(1.0, shares.per_service_per_s * PROBE_BURST_S)
-        tokens = self._probe_tokens.get(service.name)
-        if tokens is None:
-            tokens = TokenBucket(per_s=shares.per_service_per_s, burst=burst, now_ms=now_ms())
-            self._probe_tokens[service.name] = tokens
-        tokens.set_rate(per_s=shares.per_service_per_s, burst=burst)
-        return shares.per_target_per_s
-
     def _create_candidate(self, client: TargetClient, now_ms: float) -> _Candidate:
         return _Candidate(
             client.target,
