--- a/testing/features/discovery.feature
+++ b/testing/features/discovery.feature
@@ -9,6 +9,19 @@
   Scenario: The route with the longest matching prefix is chosen
     Then for every set of prefixes the route with the longest matching one is chosen
 
+  Scenario Outline: Pattern "few requests for each of many entries": the fleet follows the weights of a split
+    When <entries> entries that have just learned a split with the weights <weights> get <requests> requests each
+    Then each service gets its weight of all requests, within 0.05
+
+    Examples:
+      | entries | weights       | requests |
+      | 16      | 0.9, 0.1      | 20       |
+      | 131     | 0.9, 0.1      | 3        |
+      | 312     | 0.9, 0.1      | 1        |
+      | 312     | 0.6, 0.4      | 1        |
+      | 312     | 0.5, 0.3, 0.2 | 2        |
+      | 1000    | 0.97, 0.03    | 4        |
+
   Scenario: Requests of a route are split by weight
     Then for every set of weights each service is off its share by at most the number of services
 
--- a/testing/features/steps/discovery_steps.py
+++ b/testing/features/steps/discovery_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from random import Random
 
 from behave import given, then, when
 from hypothesis import strategies as st
@@ -209,3 +210,25 @@
 
     changes = st.lists(CHANGES, max_size=12)
     check_property(context, prop, changes=changes, older=changes)
+
+
+@when(
+    "{entries:d} entries that have just learned a split with the weights {weights} get"
+    " {requests:d} requests each"
+)
+def when_split_learned(context, entries, weights, requests):
+    parts = [WeightedService(f"s{i}", float(w)) for i, w in enumerate(weights.split(", "))]
+    context.parts, context.counts = parts, Counter()
+    rng = Random(1)
+    for _ in range(entries):
+        round_robin = WeightedRoundRobin(parts, rng=rng)
+        context.counts.update(round_robin.next_service() for _ in range(requests))
+
+
+@then("each service gets its weight of all requests, within {bound:g}")
+def then_fleet_follows_weights(context, bound):
+    # Guards against entries that all begin a split with the same service.
+    total = context.counts.total()
+    for part in context.parts:
+        share = context.counts[part.service] / total
+        assert abs(share - part.weight) <= bound, (part, share)
