Take the checks of a response and the events of an error out of the proxy's attempt

Change: a table of errors and events, and a module with the checks of a response head; no behavior changes.

--- a/src/kingcupusher/_proxy/attempt.py
+++ b/src/kingcupusher/_proxy/attempt.py
@@ -13,37 +13,31 @@
 from kingcupusher._http.errors import (
     BadRequestError,
     CallerDisconnectedError,
-    ConnectError,
-    ConnectTimeoutError,
     ExchangeError,
-    PoolLimitError,
     ResetError,
 )
-from kingcupusher._http.framing import MAX_INTERIM_RESPONSES, invalid_framing_reason
+from kingcupusher._http.framing import MAX_INTERIM_RESPONSES
 from kingcupusher._http.heads import ResponseHead
 from kingcupusher._http.pool import ConnectionPool
 from kingcupusher._http.server_connection import ServerConnection
 from kingcupusher._proxy.body import RequestBody
 from kingcupusher._proxy.classify import ProxyRequest
+from kingcupusher._proxy.error_events import event_of
 from kingcupusher._proxy.errors import NotSentError, RefusedError
 from kingcupusher._proxy.headers import request_headers, response_headers
 from kingcupusher._proxy.load_balancer import (
-    AbandonedEvent,
-    FailureEvent,
     LoadBalancer,
-    NotSentEvent,
-    RefusalEvent,
     ResetEvent,
     ResponseEvent,
     TargetEvent,
 )
 from kingcupusher._proxy.load_report import LoadReport, parse_load_report
+from kingcupusher._proxy.response_checks import check_request_id, check_response
 from kingcupusher._proxy.response_timeouts import ResponseTimeouts
 
 # After this time without a connection, another target is tried.
 CONNECT_TIMEOUT_MS = 1_000.0
 END_OF_MESSAGE = h11.EndOfMessage()
-NOT_RUN = (b"x-outcome", b"not-run")
 MIN_FORWARDED_INFORMATIONAL_STATUS = 102
 
 
@@ -106,44 +100,32 @@
         :class:`RefusedError` if the target refused, :class:`ExchangeError` if the outcome is
         unknown, and :class:`CallerDisconnectedError`.
         """
-        event: type[TargetEvent] = FailureEvent
+        event: type[TargetEvent] = ResponseEvent
         try:
-            connection = await self._acquire()
-            is_complete = False
-            try:
-                await self._exchange(connection)
-                is_complete = True
-            except RefusedError:
-                is_complete = True
-                raise
-            finally:
-                self._caller.on_disconnect = None
-                self.is_stale = connection.is_stale()
-                await self._release(connection, is_complete)
-            event = ResponseEvent
-        except (PoolLimitError, NotSentError):
-            event = NotSentEvent
+            await self._acquire_and_exchange()
+        except BaseException as error:
+            event = event_of(error)
             raise
+        finally:
+            self._report(event)
+
+    async def _acquire_and_exchange(self) -> None:
+        connection = await self._acquire()
+        is_complete = False
+        try:
+            await self._exchange(connection)
+            is_complete = True
         except RefusedError:
-            event = RefusalEvent
-            raise
-        except (CallerDisconnectedError, curio.TaskCancelled):
-            event = AbandonedEvent
+            is_complete = True
             raise
         except ResetError as error:
             if self._caller.is_disconnected:
-                event = AbandonedEvent
                 raise CallerDisconnectedError("the caller closed before the response") from error
-            event = ResetEvent
-            raise
-        except ConnectTimeoutError:
-            event = FailureEvent
-            raise
-        except ConnectError:
-            event = ResetEvent
             raise
         finally:
-            self._report(event)
+            self._caller.on_disconnect = None
+            self.is_stale = connection.is_stale()
+            await self._release(connection, is_complete)
 
     async def _release(self, connection: ClientConnection, is_complete: bool) -> None:
         try:
@@ -266,30 +248,12 @@
 
     def _check_response(self, head: ResponseHead, connection: ClientConnection) -> None:
         self._status = head.status
-        if self._destination.target_id is not None:
-            self._check_request_id(head, connection)
         for name, value in head.headers:
             if name == b"x-target-load":
                 self._load = parse_load_report(value)
-        if NOT_RUN in head.headers:
-            connection.discard_received_body()
-            raise RefusedError(f"{self._destination.pool.address} did not run the request")
-        reason = invalid_framing_reason(head, self._request.head.method)
-        if reason is not None:
-            raise ExchangeError(f"invalid response from {self._destination.pool.address}: {reason}")
-
-    def _check_request_id(self, head: ResponseHead, connection: ClientConnection) -> None:
-        """Raise :class:`ExchangeError` if the response repeats one to an earlier request.
-
-        A target need not echo ``X-Request-Id``. If it has done so on a connection, a response with
-        another identifier, or a refusal without one, does not show what became of this request.
-        """
-        response_id = dict(head.headers).get(b"x-request-id")
-        is_own = response_id == self._request.request_id
-        must_be_own = response_id is not None or NOT_RUN in head.headers
-        if connection.echoes_request_ids and must_be_own and not is_own:
-            raise ExchangeError(f"{connection.address} sent a response to another request")
-        connection.echoes_request_ids |= is_own
+        if self._destination.target_id is not None:
+            check_request_id(head, connection, self._request.request_id)
+        check_response(head, connection, self._request.head.method)
 
     async def _forward_response(self, connection: ClientConnection, head: ResponseHead) -> None:
         """Forward the response with one write per batch of received bytes."""
