--- a/src/kingcupusher/_discovery/follower.py
+++ b/src/kingcupusher/_discovery/follower.py
@@ -32,15 +32,15 @@
 MAX_RETRY_DELAY_S = 1.2
 """Delays after failed calls; the end of an outage must be detected within the 2 s grace period."""
 LINKED_RETRY_DELAY_S = 4.0
-"""The same for an entry that gets messages of a reader, which will tell it of the end."""
+"""Delay of an entry that gets messages of a reader, which will tell it of the end of an outage."""
 READER_SILENCE_MS = 1_500.0
 """A reader sends a message at least every 1.2 s."""
 CHECK_INTERVAL_S = 0.1
 STALE_READ_AGE_MS = 1_000.0
 """Assumed age of the result of a stale read."""
 READER_SEARCH_MS = 2_000.0
-"""An entry that has just started looks for a reader for this time before it reads the store at
-full price. Changes are due 3 s after its start."""
+"""An entry that has just started looks for a reader for this time before it watches the store,
+which costs ten times as much as a stale read. Changes are due 3 s after its start."""
 HISTORY_LENGTH = 256
 
 
--- a/src/kingcupusher/_gateway/probe_allowance.py
+++ b/src/kingcupusher/_gateway/probe_allowance.py
@@ -47,12 +47,12 @@
     def take(self, client: TargetClient) -> bool:
         """Count a probe of the target; return False if no probe may be sent."""
         current_ms = now_ms()
-        service_tokens = self._service_tokens[client.target.record.service]
-        if not client.probe_tokens.has_token(now_ms=current_ms):
+        tokens = self._service_tokens[client.target.record.service], client.probe_tokens
+        if not all(bucket.has_token(now_ms=current_ms) for bucket in tokens):
             return False
-        return service_tokens.try_take(now_ms=current_ms) and client.probe_tokens.try_take(
-            now_ms=current_ms
-        )
+        for bucket in tokens:
+            bucket.try_take(now_ms=current_ms)
+        return True
 
     def max_reuse_age_ms(self, client: TargetClient) -> float:
         """Return how old a reading of the target may be, which depends on the scarcer tokens."""
--- a/src/kingcupusher/_relay/reader_slots.py
+++ b/src/kingcupusher/_relay/reader_slots.py
@@ -28,9 +28,9 @@
 RETRY_DELAY_S = 2.0
 NARROW_LINK_DELAY_MS = 3_000.0
 """An entry with a slow link leaves a vacant slot to others for up to this time."""
-SEARCH_DELAY_MS = 800.0
-"""Interval between stale reads of the slots while no reader is known, at least; up to one and a
-half times as long. Without readers, each entry would read the store at full price."""
+MIN_SEARCH_INTERVAL_MS = 800.0
+"""Shortest interval between stale reads of the slots while no reader is known; the longest is one
+and a half times as long. An entry that finds no reader would watch the store itself."""
 SUBSCRIPTION_DELAY_MS = 5_000.0
 """Time for subscribers to connect to a new reader; one without any is the only entry."""
 REQUIRED_LINK_MBPS = 20.0
@@ -133,7 +133,9 @@
             self._catalog.apply(await self._store.list_reader_slots(), now_ms=now_ms())
             self._search_at_ms = inf
         if self._search_at_ms == inf:
-            self._search_at_ms = now_ms() + SEARCH_DELAY_MS * (1.0 + self._rng.random() / 2.0)
+            self._search_at_ms = now_ms() + MIN_SEARCH_INTERVAL_MS * (
+                1.0 + self._rng.random() / 2.0
+            )
 
     async def _acquire_if_due(self) -> None:
         """Acquire a slot that has been vacant for the delay of this entry."""
--- a/testing/features/soak.feature
+++ b/testing/features/soak.feature
@@ -19,6 +19,8 @@
       | is idempotent     | a closed connection          | executed it             | undisturbed entries do not close a connection instead of responding     |
 
   Scenario Outline: All invariants hold in a run with random faults
+    Seed 9101 failed once: an entry ended as it started, probably by a SIGHUP before its handler was set.
+
     When the soak runs seed <seed> for <seconds> s
     Then all invariants hold and at least half of the requests were served
 
@@ -26,3 +28,4 @@
       | seed | seconds |
       | 100  | 5       |
       | 204  | 5       |
+      | 9101 | 6       |
