Log failed calls to the store and who confirmed the state after an outage

An entry logged one line at the start and one at the end of an outage, so neither the length of each call, nor the pause until the next, nor the reader on which the entry relied could be seen. Change: three events; no decision is changed.

--- a/src/kingcupusher/_discovery/follower.py
+++ b/src/kingcupusher/_discovery/follower.py
@@ -42,6 +42,8 @@
 """An entry that has just started looks for a reader for this time before it watches the store,
 which costs ten times as much as a stale read. Changes are due 3 s after its start."""
 HISTORY_LENGTH = 256
+OWN_CALL = "store"
+"""Source of a confirmation that no reader relayed."""
 
 
 class ChangeSourceError(KingcupusherError):
@@ -137,13 +139,14 @@
             if self.position is not None and not self._must_read(now_ms()):
                 await curio.sleep(CHECK_INTERVAL_S)
                 continue
+            sent_ms = now_ms()
             try:
                 await self._read()
             except HistoryGoneError as error:
                 self._on_event("store history lost", position=self.position, reason=str(error))
                 self._must_read_all = True
             except ChangeSourceError as error:
-                self._record_failure(error)
+                self._record_failure(error, elapsed_ms=now_ms() - sent_ms)
                 await curio.sleep(self._retry_delay_s)
 
     def _must_read(self, now_ms: float) -> bool:
@@ -192,11 +195,11 @@
         if self.position is None or update.position > self.position:
             await self._apply_update(update)
 
-    def on_confirmation(self, *, position: StorePosition, confirmed_ms: float) -> None:
-        """Record that the store confirmed the state up to ``position`` to a reader."""
+    def on_confirmation(self, *, position: StorePosition, confirmed_ms: float, reader: str) -> None:
+        """Record that the store confirmed the state up to ``position`` to ``reader``."""
         self._heard_ms = now_ms()
         if self.position is not None and position <= self.position:
-            self.confirmed_ms = max(self.confirmed_ms, confirmed_ms)
+            self._confirm(confirmed_ms, source=reader)
 
     def lacks_update(self, position: StorePosition | None) -> bool:
         """Return whether an entry at ``position`` lacks changes that this entry has."""
@@ -243,8 +246,17 @@
         self._catalog.apply([StoreReturned()], now_ms=now_ms())
         self._reregistration_until_ms = now_ms() + REREGISTRATION_GRACE_MS
 
+    def _confirm(self, confirmed_ms: float, *, source: str) -> None:
+        """Log which source confirmed the state after a time without a confirmation."""
+        before_ms = self.confirmed_ms
+        self.confirmed_ms = max(before_ms, min(confirmed_ms, now_ms()))
+        oldest_ms = now_ms() - MAX_CONFIRMATION_AGE_MS
+        if before_ms < oldest_ms <= self.confirmed_ms:
+            unconfirmed_ms = round(now_ms() - before_ms) if before_ms else None
+            self._on_event("state confirmed", source=source, unconfirmed_ms=unconfirmed_ms)
+
     def _record_success(self, confirmed_ms: float) -> None:
-        self.confirmed_ms = max(self.confirmed_ms, min(confirmed_ms, now_ms()))
+        self._confirm(confirmed_ms, source=OWN_CALL)
         self._response_timeout_ms = max(RESPONSE_TIMEOUT_MS, self._response_timeout_ms / 2.0)
         self._retry_delay_s = RETRY_DELAY_S
         if self._failing_since_ms is None:
@@ -255,7 +267,7 @@
         self._start_reregistration()
         self._on_event("store regained", outage_ms=round(outage_ms))
 
-    def _record_failure(self, error: ChangeSourceError) -> None:
+    def _record_failure(self, error: ChangeSourceError, *, elapsed_ms: float) -> None:
         self._response_timeout_ms = min(MAX_RESPONSE_TIMEOUT_MS, self._response_timeout_ms * 1.5)
         if self._failing_since_ms is None:
             self._failing_since_ms = now_ms()
@@ -266,3 +278,12 @@
             self._retry_delay_s = LINKED_RETRY_DELAY_S
         else:
             self._retry_delay_s = min(MAX_RETRY_DELAY_S, self._retry_delay_s * 1.5)
+        self._on_event(
+            "store call failed",
+            reason=str(error),
+            elapsed_ms=round(elapsed_ms),
+            next_timeout_ms=round(self._response_timeout_ms),
+            retry_delay_ms=round(self._retry_delay_s * 1000.0),
+            is_reader=self._is_reader(),
+            reader_message_age_ms=round(now_ms() - self._heard_ms) if self._heard_ms else None,
+        )
--- a/src/kingcupusher/_relay/subscriptions.py
+++ b/src/kingcupusher/_relay/subscriptions.py
@@ -141,26 +141,29 @@
             subscribe = Subscribe(self._entry, self._follower.position)
             async with curio.timeout_after(DIAL_TIMEOUT_S):
                 await connection.send(encode(subscribe))
+            self._on_event("reader link made", reader=reader.entry)
             listed = _ListedEntries(self._catalog.live_entries)
             while True:
-                await self._receive(connection, listed)
+                await self._receive(connection, listed, reader.entry)
         finally:
             await connection.close()
 
-    async def _receive(self, connection: Connection, listed: _ListedEntries) -> None:
+    async def _receive(self, connection: Connection, listed: _ListedEntries, reader: str) -> None:
         async with curio.timeout_after(RECEIVE_TIMEOUT_S):
             received = await connection.receive()
         for data in received:
-            await self._on_message(decode(data), listed)
+            await self._on_message(decode(data), listed, reader)
 
-    async def _on_message(self, message: RelayMessage, listed: _ListedEntries) -> None:
+    async def _on_message(self, message: RelayMessage, listed: _ListedEntries, reader: str) -> None:
         if isinstance(message, CatalogUpdate):
             await self._follower.on_update(
                 Update(message.changes, message.position, message.is_full)
             )
         elif isinstance(message, Confirmation):
             confirmed_ms = now_ms() - message.age_ms
-            self._follower.on_confirmation(position=message.position, confirmed_ms=confirmed_ms)
+            self._follower.on_confirmation(
+                position=message.position, confirmed_ms=confirmed_ms, reader=reader
+            )
             listed.refresh()
         elif isinstance(message, EntriesChanged):
             listed.on_change(message)
--- a/testing/features/relay.feature
+++ b/testing/features/relay.feature
@@ -19,6 +19,14 @@
     Then every running entry that reaches the store or a reader applies the change within 2 s
     And the steps pass when they are run
 
+  Scenario: The events of an entry tell how it lost and regained a current state
+    Given 6 entries in 3 zones that follow a store
+    When the store does not respond to any entry for 4 s
+    And a zone is taken out
+    And 4 s pass
+    Then the events of each entry have its failed calls and the source of its next confirmation
+    And the steps pass when they are run
+
   Scenario Outline: A change reaches every entry in time although <fault>
     Given 6 entries in 3 zones that follow a store
     When this fault occurs: <fault>
--- a/testing/features/steps/relay_steps.py
+++ b/testing/features/steps/relay_steps.py
@@ -262,6 +262,42 @@
     context.steps.append(step)
 
 
+@when("the store does not respond to any entry for {outage_s:g} s")
+def when_unresponsive(context, outage_s):
+    async def step(cluster):
+        cluster.store.unresponsive_for = set(cluster.zones)
+        await curio.sleep(outage_s)
+        cluster.store.unresponsive_for = set()
+
+    context.steps.append(step)
+
+
+@when("{pause_s:g} s pass")
+def when_time_passes(context, pause_s):
+    async def step(cluster):
+        del cluster
+        await curio.sleep(pause_s)
+
+    context.steps.append(step)
+
+
+@then("the events of each entry have its failed calls and the source of its next confirmation")
+def then_outage_events(context):
+    # Guards against an incident in which nobody can tell why an entry kept an old state.
+    async def check(cluster):
+        for name, member in cluster.members.items():
+            failed = [f for event, f in member.events if event == "store call failed"]
+            assert failed, name
+            for fields in failed:
+                assert fields["elapsed_ms"] >= 500.0 and fields["retry_delay_ms"] > 0.0, fields
+            confirmed = [f for event, f in member.events if event == "state confirmed"]
+            sources = {"store", *cluster.zones} - {name}
+            assert confirmed[-1]["source"] in sources, confirmed
+            assert confirmed[-1]["unconfirmed_ms"] >= 2_000.0, confirmed
+
+    context.steps.append(check)
+
+
 @when("a zone is taken out")
 def when_zone_out(context):
     async def step(cluster):
--- a/testing/features/steps/restoration_steps.py
+++ b/testing/features/steps/restoration_steps.py
@@ -157,7 +157,7 @@
         )
         update = Update([ZoneTakenOut("a")], StorePosition(1, 10), is_full=True)
         await follower.on_update(update)
-        follower.on_confirmation(position=update.position, confirmed_ms=now_ms())
+        follower.on_confirmation(position=update.position, confirmed_ms=now_ms(), reader="e1")
         task = await curio.spawn(follower.run, daemon=True)
         await curio.sleep(0.2)
         await task.cancel()
