Choose ports of test processes outside the range of outgoing connections

Cause: a free port was found by binding port 0, which takes it from the range that the system also assigns to outgoing connections. A connection could take it before the process listened; a new test with 15 clusters in one process failed with 'Address already in use'.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -15,8 +15,8 @@
 
 from kingcupusher._core.address import Address
 from standins.errors import StandinError
+from standins.ports import free_address
 
-LOOPBACK = "127.0.0.1"
 POLL_INTERVAL_S = 0.02
 EXIT_TIMEOUT_S = 5.0
 READY_TIMEOUT_S = 15.0
@@ -40,16 +40,10 @@
     def allocate(self) -> Address:
         """Return an address whose port is free at the moment."""
         while True:
-            port = _free_port()
-            if port not in self._used:
-                self._used.add(port)
-                return Address(LOOPBACK, port)
-
-
-def _free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind((LOOPBACK, 0))
-        return int(sock.getsockname()[1])
+            address = free_address()
+            if address.port not in self._used:
+                self._used.add(address.port)
+                return address
 
 
 class ManagedProcess:
--- a/testing/features/processes.feature
+++ b/testing/features/processes.feature
@@ -28,3 +28,6 @@
     Given a parent process that has started a target
     When the parent process gets SIGTERM
     Then the target of the parent process has exited within 8 s
+
+  Scenario: The port for a process that starts later cannot be taken by an outgoing connection
+    Then 200 free addresses have ports below those that the system assigns to connections
--- a/testing/features/steps/load_tool_steps.py
+++ b/testing/features/steps/load_tool_steps.py
@@ -17,7 +17,8 @@
 from standins.load.plan import PlannedRequest
 from standins.load.runner import RequestRecord, Runner, RunSettings
 from standins.load.summary import compare_executions
-from standins.processes import LOOPBACK, AddressPool
+from standins.ports import LOOPBACK
+from standins.processes import AddressPool
 from standins.target.activity_log import Execution, Progress
 
 TIMEOUT_MS = 200.0
--- a/testing/features/steps/processes_steps.py
+++ b/testing/features/steps/processes_steps.py
@@ -15,6 +15,7 @@
 from standins.load.outcome import Outcome
 from standins.load.plan import PlannedRequest
 from standins.load.runner import Runner, RunSettings
+from standins.ports import first_connection_port, free_address
 from standins.processes import ProcessError, ProcessGroup
 
 TARGET_STATES: Registry = Registry("target state")
@@ -165,3 +166,11 @@
 
 def _exists(pid):
     return Path(f"/proc/{pid}").exists()
+
+
+@then("{count:d} free addresses have ports below those that the system assigns to connections")
+def then_ports_are_safe(context, count):
+    # Guards against a process that cannot listen because a connection got its port meanwhile.
+    del context
+    ports = {free_address().port for _ in range(count)}
+    assert max(ports) < first_connection_port(), max(ports)
--- a/testing/features/steps/relay_size_steps.py
+++ b/testing/features/steps/relay_size_steps.py
@@ -13,7 +13,7 @@
 from kingcupusher._peers.errors import MessageError
 from kingcupusher._relay import RelayServer, Subscriptions
 from kingcupusher._relay.messages import Compressed, decode
-from testing.gateway.discovery_entry import free_address
+from standins.ports import free_address
 from testing.gateway.fixture import route_table
 from testing.gateway.store import FakeStore
 
--- a/testing/features/steps/start_steps.py
+++ b/testing/features/steps/start_steps.py
@@ -21,7 +21,7 @@
 from kingcupusher._core.startup import listen, startup_imports
 from kingcupusher._http.pipeline import PipelineLimits
 from kingcupusher._http.pipeline_listener import PipelineListener
-from testing.gateway.discovery_entry import free_address
+from standins.ports import free_address
 
 ROOT = Path(__file__).resolve().parents[3]
 LOOPBACK = Address("127.0.0.1", 0)
--- a/testing/features/steps/store_client_steps.py
+++ b/testing/features/steps/store_client_steps.py
@@ -11,7 +11,7 @@
 from kingcupusher._http.simple_client import Response
 from kingcupusher._http.simple_server import serve
 from kingcupusher_platform.store import StoreClient
-from testing.gateway.discovery_entry import free_address
+from standins.ports import free_address
 
 TIMEOUT_MS = 2_000.0
 START_DELAY_S = 0.05
--- a/testing/platform_process.py
+++ b/testing/platform_process.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 import subprocess
 import sys
 import time
@@ -11,10 +10,10 @@
 import msgspec
 
 from kingcupusher._core import now_ms
-from kingcupusher._core.address import Address
 from kingcupusher._http.errors import ConnectError
 from kingcupusher._http.simple_client import fetch
 from kingcupusher._platform import KeyValueClient
+from standins.ports import free_address
 
 START_TIMEOUT_S = 10
 
@@ -23,7 +22,7 @@
     """A running stand-in of the platform with its service and control addresses."""
 
     def __init__(self, *options):
-        self.address, self._control = _free_address(), _free_address()
+        self.address, self._control = free_address(), free_address()
         ports = ["--port", str(self.address.port), "--control-port", str(self._control.port)]
         command = [sys.executable, "-m", "standins.platform", *ports, *options]
         self._process = subprocess.Popen(command)
@@ -61,9 +60,3 @@
     context.platform = PlatformProcess(*options)
     context.add_cleanup(context.platform.stop)
     context.client = KeyValueClient(context.platform.address, timeout_ms=300)
-
-
-def _free_address():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return Address(*sock.getsockname())
