--- a/testing/features/steps/relay_steps.py
+++ b/testing/features/steps/relay_steps.py
@@ -13,69 +13,23 @@
 from kingcupusher._peers.connection import ByteCounters, PeerIdentity, dial
 from kingcupusher._peers.errors import MessageError
 from kingcupusher._relay.messages import Subscribe, decode, encode
-from testing.gateway.discovery_entry import DiscoveryEntry, free_address
+from standins.ports import free_address
+from testing.gateway.cluster import Cluster
+from testing.gateway.discovery_entry import DiscoveryEntry
 from testing.gateway.fixture import route_table
-from testing.gateway.store import FakeStore
 
 IN_TIME_MS = 2_000.0
 
 
-class Cluster:
-    """The entries and the store of one scenario, whose steps run in one curio event loop."""
-
-    def __init__(self, count, zones):
-        self.store = FakeStore()
-        self.store.write("routes", RoutesPublished(route_table()))
-        self.zones = {f"e{i}": f"z{i % zones}" for i in range(count)}
-        self.addresses = {}
-        self.members = {}
-        self.running = set()
-        self.link_mbps = {}
-
-    async def start(self, name):
-        """Start the entry ``name``."""
-        address = self.addresses.setdefault(name, free_address())
-        self.members[name] = DiscoveryEntry(
-            name,
-            self.zones[name],
-            self.store,
-            address=address,
-            link_mbps=self.link_mbps.get(name, 1_000.0),
-        )
-        self.running.add(name)
-        await self.members[name].start()
-
-    async def stop(self, name):
-        """Kill the entry ``name``."""
-        self.running.discard(name)
-        await self.members[name].stop()
-
-    def readers(self):
-        """Return the running entries that hold a reader slot."""
-        return sorted(name for name in self.running if self.members[name].reader_slot.is_held)
-
-    async def wait_for(self, condition, *, within_ms=6_000.0):
-        """Return whether ``condition`` became true in time."""
-        end_ms = now_ms() + within_ms
-        while not condition() and now_ms() < end_ms:
-            await curio.sleep(0.01)
-        return condition()
-
-
 @then("the steps pass when they are run")
 def run_steps(context):
     """Run the collected steps of the scenario in one event loop."""
 
     async def main():
-        cluster = context.cluster
-        for name in cluster.zones:
-            await cluster.start(name)
-        assert await cluster.wait_for(lambda: len(cluster.readers()) == 3), cluster.readers()
-        await curio.sleep(1.0)
+        await context.cluster.start_all()
         for step in context.steps:
-            await step(cluster)
-        for name in list(cluster.running):
-            await cluster.stop(name)
+            await step(context.cluster)
+        await context.cluster.stop_all()
 
     curio.run(main)
 
--- /dev/null
+++ b/testing/features/steps/store_outage_steps.py
@@ -0,0 +1,105 @@
+"""Steps for silent outages of the store, several of different length at the same time."""
+
+from __future__ import annotations
+
+from functools import partial
+
+import curio
+from behave import then
+
+from kingcupusher._core import now_ms
+from kingcupusher._discovery import RoutesPublished
+from testing.gateway.cluster import Cluster
+from testing.gateway.fixture import route_table
+
+RESTART_DELAY_S = 1.0
+OUTAGE_PHASE_S = 2.75
+"""Time from the start of an outage to the kill of entries."""
+NEW_VERSION = 9
+
+
+async def _restart_none(cluster):
+    del cluster
+    await curio.sleep(RESTART_DELAY_S)
+
+
+async def _restart(cluster, names):
+    for name in names:
+        await cluster.stop(name)
+    await curio.sleep(RESTART_DELAY_S)
+    for name in names:
+        await cluster.start(name)
+
+
+async def _restart_readers(cluster):
+    await _restart(cluster, cluster.readers())
+
+
+async def _restart_one_without_state(cluster):
+    """Restart an entry that reaches no other one, and let stale reads be old from then on."""
+    cluster.store.serve_old_copies()
+    cluster.seeds = ()
+    await _restart(cluster, [name for name in sorted(cluster.running) if name == "e5"])
+
+
+async def _delay_after_outage_ms(outage_s, bound_s, restart):
+    """Return how long after the end of the outage the last entry had the newest routes."""
+    cluster = Cluster(6, 3)
+    cluster.seeds = ("e0", "e1", "e2")
+    await cluster.start_all()
+    end_ms = now_ms() + outage_s * 1000.0
+    cluster.store.unresponsive_for = set(cluster.zones)
+    await curio.sleep(min(OUTAGE_PHASE_S, outage_s - RESTART_DELAY_S))
+    await restart(cluster)
+    await curio.sleep((end_ms - now_ms()) / 1000.0)
+    cluster.store.unresponsive_for = set()
+    returned_ms = now_ms()
+    cluster.store.write("routes", RoutesPublished(route_table(version=NEW_VERSION)))
+    await cluster.wait_for(partial(_all_have_new_routes, cluster), within_ms=bound_s * 5_000.0)
+    delay_ms = now_ms() - returned_ms
+    await cluster.stop_all()
+    return delay_ms
+
+
+def _all_have_new_routes(cluster):
+    tables = [cluster.members[name].catalog.route_table for name in cluster.running]
+    return all(table is not None and table.version == NEW_VERSION for table in tables)
+
+
+def _check_outages(low_s, high_s, bound_s, restart):
+    outages_s = [low_s + 0.5 * step for step in range(int((high_s - low_s) / 0.5) + 1)]
+
+    async def main():
+        tasks = [
+            await curio.spawn(_delay_after_outage_ms, outage_s, bound_s, restart)
+            for outage_s in outages_s
+        ]
+        return [await task.join() for task in tasks]
+
+    delays_ms = dict(zip(outages_s, curio.run(main), strict=True))
+    late = {outage_s: round(d) for outage_s, d in delays_ms.items() if d > bound_s * 1000.0}
+    assert not late, f"ms from the return of the store, by length of the outage in s: {late}"
+
+
+@then(
+    "after silent outages of {low_s:g} to {high_s:g} s every entry applies a change within"
+    " {bound_s:g} s"
+)
+def then_in_time(context, low_s, high_s, bound_s):
+    _check_outages(low_s, high_s, bound_s, _restart_none)
+
+
+@then(
+    "after silent outages of {low_s:g} to {high_s:g} s in which all readers restart every entry"
+    " applies a change within {bound_s:g} s"
+)
+def then_in_time_after_restarts(context, low_s, high_s, bound_s):
+    _check_outages(low_s, high_s, bound_s, _restart_readers)
+
+
+@then(
+    "after silent outages of {low_s:g} to {high_s:g} s an entry that was restarted alone applies"
+    " a change within {bound_s:g} s"
+)
+def then_in_time_after_restart(context, low_s, high_s, bound_s):
+    _check_outages(low_s, high_s, bound_s, _restart_one_without_state)
--- a/testing/gateway/discovery_entry.py
+++ b/testing/gateway/discovery_entry.py
@@ -2,23 +2,14 @@
 
 from __future__ import annotations
 
-import socket
 from random import Random
 
 import curio
 
-from kingcupusher._core.address import Address
 from kingcupusher._discovery import Catalog, StoreFollower
 from kingcupusher._relay import ReaderSlot, RelayServer, Subscriptions
 
 
-def free_address():
-    """Return a loopback address whose port is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return Address("127.0.0.1", sock.getsockname()[1])
-
-
 class DiscoveryEntry:
     """The discovery part of one entry."""
 
--- a/testing/gateway/store.py
+++ b/testing/gateway/store.py
@@ -31,6 +31,7 @@
         self.unresponsive_for = set()
         self.slot_leases = {}
         self.watching_entries = set()
+        self.stale_batch = None
 
     def write(self, key, change):
         """Write ``change`` under ``key``."""
@@ -53,6 +54,10 @@
         """Return a copy for ``restore``."""
         return self.revision, list(self.events), dict(self.contents), dict(self.slot_leases)
 
+    def serve_old_copies(self):
+        """Return the present contents to all stale reads from now on."""
+        self.stale_batch = ChangeBatch(list(self.contents.values()), self.position)
+
     def restore(self, copy):
         """Return to the content of ``copy``; what was written since is lost."""
         self.restorations += 1
@@ -89,7 +94,10 @@
         await self._call(timeout_ms)
         return ChangeBatch(list(self.store.contents.values()), self.store.position)
 
-    read_all_stale = read_all
+    async def read_all_stale(self, *, timeout_ms):
+        """Return all contents, or the older ones that a test set."""
+        batch = await self.read_all(timeout_ms=timeout_ms)
+        return self.store.stale_batch or batch
 
     async def wait_for_changes(self, *, after, wait_ms, timeout_ms):
         """Wait for events after a position."""
