--- a/src/kingcupusher/_gateway/attempt.py
+++ b/src/kingcupusher/_gateway/attempt.py
@@ -9,6 +9,7 @@
 from kingcupusher._core import now_ms
 from kingcupusher._gateway.header_codec import HeaderCodec, ResponseKind
 from kingcupusher._gateway.load_probe import ProbedTarget
+from kingcupusher._gateway.request_fingerprint import request_fingerprint
 from kingcupusher._http.buffered import BufferedResponse, encode_request, read_response
 from kingcupusher._http.client_connection import ClientConnection
 from kingcupusher._http.errors import ExchangeError, ResetError
@@ -45,6 +46,8 @@
     outcome: AttemptOutcome
     response: BufferedResponse | None = None
     reason: str = ""
+    fingerprint: str | None = None
+    """That of the request, if the connection ended without a complete response."""
 
 
 class Attempt:
@@ -90,7 +93,12 @@
             result = await self._exchange(connection, deadline_ms)
             is_complete = result.response is not None
         except ExchangeError as error:
-            result = AttemptResult(self, AttemptOutcome.BROKEN, reason=str(error))
+            result = AttemptResult(
+                self,
+                AttemptOutcome.BROKEN,
+                reason=str(error),
+                fingerprint=request_fingerprint(self._head, self._body),
+            )
         finally:
             self.ended_ms = now_ms()
             if self.probed.claimed_ms is not None:
--- a/testing/features/gateway.feature
+++ b/testing/features/gateway.feature
@@ -159,6 +159,11 @@
     When a caller sends it a transfer
     Then the log has the choice, the attempt with its load reading and reason, and the end of the request
 
+  Scenario: The log tells which requests were equal if their connections ended without a response
+    Given a gateway with these targets: cut_in_head
+    When a caller sends it two equal lookups and a transfer
+    Then the log has the same fingerprint for both and another one for the third
+
   Scenario: An attempt without a response in time is logged
     Given a gateway with these targets: unresponsive
     When a caller sends it a short-timeout transfer
--- a/testing/features/steps/gateway_steps.py
+++ b/testing/features/steps/gateway_steps.py
@@ -125,6 +125,23 @@
     context.elapsed_ms = now_ms() - started_ms
 
 
+@then("the log has the same fingerprint for both and another one for the third")
+def then_fingerprints(context):
+    # Guards against an incident in which nobody can tell that one request comes again and again.
+    lines = [json.loads(line) for line in context.fixture.log_text().splitlines()]
+    by_id = {line["id"]: line["fingerprint"] for line in lines if line["event"] == "send"}
+    assert by_id["r0"] and by_id["r0"] == by_id["r1"] != by_id["r2"], by_id
+
+
+@when("a caller sends it two equal lookups and a transfer")
+def when_equal_lookups(context):
+    async def action(fixture):
+        await _in_turn(fixture, 2)
+        await fixture.call("transfer", "r2")
+
+    run(context, action)
+
+
 @then("the connection ended within {bound_ms:d} ms")
 def then_connection_ended(context, bound_ms):
     # Guards against a caller that waits until its deadline after an internal error.
