Refuse a request under which three targets have ended, at all entries

Cause: entries judged targets by failures, never requests, and shared nothing. Class of fault: a failure that belongs to the request is charged to the target, and retried. Change: entries count the distinct targets that ended under a fingerprint, write that to the store under a lease, and learn it from the readers; three without a success in between refuse the request, two end its retries. Ruled out: the address of the client and the attempt's identifier as part of the fingerprint, as they differ each time; a memory in each entry, as arrivals are spread.

--- a/src/kingcupusher/_discovery/__init__.py
+++ b/src/kingcupusher/_discovery/__init__.py
@@ -12,6 +12,8 @@
 )
 from kingcupusher._discovery.changes import (
     Change,
+    CrashSeen,
+    CrashWithdrawn,
     ReaderGone,
     ReaderSeen,
     RoutesPublished,
@@ -38,6 +40,8 @@
     "CallerLimits",
     "Catalog",
     "Change",
+    "CrashSeen",
+    "CrashWithdrawn",
     "LiveEntries",
     "StoreFollower",
     "StorePosition",
--- a/src/kingcupusher/_discovery/catalog.py
+++ b/src/kingcupusher/_discovery/catalog.py
@@ -7,6 +7,8 @@
 from kingcupusher._core import Registry
 from kingcupusher._discovery.changes import (
     Change,
+    CrashSeen,
+    CrashWithdrawn,
     ReaderGone,
     ReaderSeen,
     RoutesPublished,
@@ -18,6 +20,7 @@
 from kingcupusher._discovery.live_entries import LiveEntries
 from kingcupusher._discovery.model import Route, RouteTable, ServiceConfig, TargetRegistration
 from kingcupusher._discovery.weighted_round_robin import WeightedRoundRobin
+from kingcupusher._limits.crash_quarantine import CrashQuarantine
 
 REREGISTRATION_GRACE_MS = 2_200.0
 """Registrations that lapsed during a store outage are renewed within 2 s of its end."""
@@ -49,6 +52,7 @@
         "_by_host",
         "_grace_end_ms",
         "_round_robins",
+        "crashes",
         "listeners",
         "live_entries",
         "readers",
@@ -65,6 +69,7 @@
         self._by_host: dict[bytes, list[Route]] = {}
         self.readers: dict[int, ReaderSeen] = {}
         self.live_entries = LiveEntries()
+        self.crashes = CrashQuarantine()
         self._grace_end_ms = 0.0
         self._round_robins: dict[tuple[str, tuple[object, ...]], WeightedRoundRobin] = {}
 
@@ -76,7 +81,10 @@
             _CHANGE_HANDLERS.get(type(change).__name__)(self, change, now_ms)
 
     def replace(self, changes: Iterable[Change], *, now_ms: float) -> None:
-        """Replace the state by a full snapshot; what it does not contain is removed."""
+        """Replace the state by a full snapshot; what it does not contain is removed.
+
+        Evidence on requests that end targets stays, since a restored store may lack it.
+        """
         changes = list(changes)
         seen = {c.record.target_id for c in changes if isinstance(c, TargetSeen)}
         out = {c.zone for c in changes if isinstance(c, ZoneTakenOut)}
@@ -135,6 +143,7 @@
         )
         changes += [TargetSeen(target.record) for target in self.targets.values()]
         changes += [ZoneTakenOut(zone) for zone in sorted(self.zones_out)]
+        changes += [CrashSeen(fingerprint, t) for fingerprint, t in self.crashes.snapshot()]
         return changes + list(self.readers.values())
 
     # -- details
@@ -234,6 +243,23 @@
         if self.readers.pop(change.slot, None) is not None:
             self._notify_listeners("reader gone", slot=change.slot)
 
+    @_CHANGE_HANDLERS.register("CrashSeen")
+    def _on_crash(self, change: Change, now_ms: float) -> None:
+        assert isinstance(change, CrashSeen)
+        if self.crashes.learn(change.fingerprint, change.target_id, now_ms=now_ms):
+            ended = self.crashes.ended_targets(change.fingerprint, now_ms=now_ms)
+            self._notify_listeners(
+                "target ended under a request",
+                fingerprint=change.fingerprint,
+                target=change.target_id,
+                ended_targets=ended,
+            )
+
+    @_CHANGE_HANDLERS.register("CrashWithdrawn")
+    def _on_crash_withdrawn(self, change: Change, now_ms: float) -> None:  # noqa: ARG002
+        assert isinstance(change, CrashWithdrawn)
+        self.crashes.forget(change.fingerprint, change.target_id)
+
     @_CHANGE_HANDLERS.register("StoreReturned")
     def _on_store_return(self, change: Change, now_ms: float) -> None:  # noqa: ARG002
         self._grace_end_ms = now_ms + REREGISTRATION_GRACE_MS
--- a/src/kingcupusher/_discovery/changes.py
+++ b/src/kingcupusher/_discovery/changes.py
@@ -61,6 +61,20 @@
     """The store responds again after an outage in which registrations may have lapsed."""
 
 
+class CrashSeen(Struct, frozen=True, tag=True):
+    """The target ``target_id`` ended its connection while it ran a request."""
+
+    fingerprint: str
+    target_id: str
+
+
+class CrashWithdrawn(Struct, frozen=True, tag=True):
+    """An equal request succeeded, or the evidence is too old."""
+
+    fingerprint: str
+    target_id: str
+
+
 Change = (
     RoutesPublished
     | TargetSeen
@@ -70,4 +84,6 @@
     | ReaderSeen
     | ReaderGone
     | StoreReturned
+    | CrashSeen
+    | CrashWithdrawn
 )
--- a/src/kingcupusher/_gateway/attempt.py
+++ b/src/kingcupusher/_gateway/attempt.py
@@ -9,7 +9,6 @@
 from kingcupusher._core import now_ms
 from kingcupusher._gateway.header_codec import HeaderCodec, ResponseKind
 from kingcupusher._gateway.load_probe import ProbedTarget
-from kingcupusher._gateway.request_fingerprint import request_fingerprint
 from kingcupusher._http.buffered import BufferedResponse, encode_request, read_response
 from kingcupusher._http.client_connection import ClientConnection
 from kingcupusher._http.errors import ExchangeError, ResetError
@@ -55,6 +54,7 @@
 
     __slots__ = (
         "_body",
+        "_fingerprint",
         "_header_codec",
         "_head",
         "_memory",
@@ -71,6 +71,7 @@
         body: bytes,
         *,
         request_id: bytes,
+        fingerprint: str,
         header_codec: HeaderCodec,
         memory: ResponseMemory,
     ) -> None:
@@ -79,6 +80,7 @@
         self._head = head
         self._body = body
         self._request_id = request_id
+        self._fingerprint = fingerprint
         self._header_codec = header_codec
         self.sent_ms = now_ms()
         self.ended_ms = 0.0
@@ -97,7 +99,7 @@
                 self,
                 AttemptOutcome.BROKEN,
                 reason=str(error),
-                fingerprint=request_fingerprint(self._head, self._body),
+                fingerprint=self._fingerprint,
             )
         finally:
             self.ended_ms = now_ms()
--- a/src/kingcupusher/_gateway/error_responses.py
+++ b/src/kingcupusher/_gateway/error_responses.py
@@ -30,6 +30,11 @@
     status=503, reason="the targets state a request rate that is used up", retry_after_ms=200.0
 )
 """Another entry may still have room, so that the caller need not wait for this one."""
+QUARANTINED = ErrorResponse(
+    status=503,
+    reason="equal requests ended several targets; the request was not sent",
+    retry_after_ms=60_000.0,
+)
 SHUTTING_DOWN = ErrorResponse(status=503, reason="this entry is ending", retry_after_ms=0.0)
 TIMED_OUT_BEFORE_SEND = ErrorResponse(
     status=503, reason="the time for the request ended before it was sent", retry_after_ms=200.0
--- a/src/kingcupusher/_gateway/exchange.py
+++ b/src/kingcupusher/_gateway/exchange.py
@@ -15,12 +15,14 @@
     NO_ROUTE,
     NO_ROUTES_YET,
     NO_TARGET,
+    QUARANTINED,
     SHUTTING_DOWN,
     TIMED_OUT,
     TIMED_OUT_BEFORE_SEND,
     ErrorResponse,
 )
 from kingcupusher._gateway.load_probe import ProbedTarget
+from kingcupusher._gateway.request_fingerprint import request_fingerprint
 from kingcupusher._gateway.request_log import RequestLog
 from kingcupusher._gateway.state import GatewayState
 from kingcupusher._gateway.target_search import TargetSearch
@@ -45,6 +47,7 @@
         "_caller",
         "_deadline_ms",
         "_fallback_response",
+        "_fingerprint",
         "_gateway",
         "_log",
         "_in_flight",
@@ -61,6 +64,7 @@
         self._gateway = gateway
         self._request_id = gateway.header_codec.request_id(caller.head)
         self._log = RequestLog(self._request_id, log=gateway.log, metrics=gateway.metrics)
+        self._fingerprint = request_fingerprint(caller.head, caller.body)
         self._deadline_ms = 0.0
         self._route: Route | None = None
         self._service: ServiceConfig | None = None
@@ -74,6 +78,10 @@
     def _may_have_executed(self) -> bool:
         return bool(self._possibly_executed_by)
 
+    @property
+    def _is_quarantined(self) -> bool:
+        return self._gateway.catalog.crashes.is_refused(self._fingerprint, now_ms=now_ms())
+
     async def run(self) -> None:
         """Find targets for the request and respond to the caller."""
         try:
@@ -136,6 +144,8 @@
         if self._service is None:
             return NO_TARGET
         self._log.service = self._service.name
+        if self._is_quarantined:
+            return QUARANTINED
         self._gateway.retry_budget(self._service.name).on_request(now_ms=now_ms())
         self._search = TargetSearch(
             self._gateway,
@@ -146,12 +156,14 @@
             deadline_ms=self._deadline_ms,
         )
         probed = await self._search.find_first()
-        while probed is not None:
+        while probed is not None and not self._is_quarantined:
             await self._start_attempt(probed)
             response = await self._first_success()
             if response is not None:
                 return response
             probed = await self._next_target()
+        if probed is not None:
+            await self._gateway.selector.release([probed])
         return self._final_response()
 
     async def _first_success(self) -> BufferedResponse | None:
@@ -205,6 +217,7 @@
             self._caller.head,
             self._caller.body,
             request_id=self._request_id,
+            fingerprint=self._fingerprint,
             header_codec=self._gateway.header_codec,
             memory=self._gateway.response_memory,
         )
@@ -219,10 +232,14 @@
         await self._gateway.wait_queue(self._service.name).notify_capacity()
         if result.outcome is AttemptOutcome.SUCCESS:
             attempt = result.attempt
+            await self._gateway.on_request_succeeded(self._fingerprint)
             self._gateway.response_time(self._route).on_response(
                 elapsed_ms=attempt.ended_ms - attempt.sent_ms,
                 cost=self._gateway.selector.cost(attempt.probed),
             )
+        if result.fingerprint is not None:
+            target_id = result.attempt.probed.target.target_id
+            await self._gateway.on_target_ended(result.fingerprint, target_id)
         if result.outcome is AttemptOutcome.NOT_RUN:
             self._possibly_executed_by.discard(result.attempt.probed.target.target_id)
         elif result.outcome is AttemptOutcome.FAILURE:
@@ -236,9 +253,10 @@
         is_safe = self._route.is_idempotent or not self._may_have_executed
         has_attempts_left = len(self._attempts) < MAX_ATTEMPTS
         has_targets_left = len(self._possibly_executed_by) < self._route.max_targets
-        if not (is_safe and has_attempts_left and has_targets_left):
-            return None
         current_ms = now_ms()
+        may_retry = self._gateway.catalog.crashes.may_retry(self._fingerprint, now_ms=current_ms)
+        if not (is_safe and has_attempts_left and has_targets_left and may_retry):
+            return None
         budget = self._gateway.retry_budget(self._service.name)
         slack = self._gateway.retry_slack(now_ms=current_ms)
         if not budget.try_spend(slack=slack - reserve, now_ms=current_ms):
@@ -255,7 +273,9 @@
         assert self._search is not None
         if self._fallback_response is not None:
             return self._fallback_response
-        return INCOMPLETE_RESPONSE if self._may_have_executed else self._search.refusal
+        if self._may_have_executed:
+            return INCOMPLETE_RESPONSE
+        return QUARANTINED if self._is_quarantined else self._search.refusal
 
     async def _deliver(self, response: BufferedResponse) -> None:
         headers = self._gateway.header_codec.response_headers(response)
--- a/src/kingcupusher/_gateway/process.py
+++ b/src/kingcupusher/_gateway/process.py
@@ -13,6 +13,7 @@
 from kingcupusher._core import now_ms
 from kingcupusher._core.signal_event import SignalEvent
 from kingcupusher._discovery import NO_POSITION, Catalog, ChangeSource, StoreFollower
+from kingcupusher._gateway.crash_reports import CrashStore
 from kingcupusher._gateway.exchange import Exchange
 from kingcupusher._gateway.header_codec import HeaderCodec
 from kingcupusher._gateway.settings import GatewaySettings
@@ -34,7 +35,7 @@
 DRAIN_POLL_INTERVAL_S = 0.02
 
 
-class PlatformStore(ChangeSource, ReaderSlotStore, Protocol):
+class PlatformStore(ChangeSource, ReaderSlotStore, CrashStore, Protocol):
     """Operations of the platform's store that an entry uses."""
 
     @property
@@ -99,7 +100,7 @@
         self._log = log
         self._store = store
         self._reload_settings = reload_settings
-        self._gateway = GatewayState(settings, catalog, header_codec, log)
+        self._gateway = GatewayState(settings, catalog, header_codec, log, store=store)
         self._limits = PipelineLimits()
         self._reader_slot = ReaderSlot(
             store,
@@ -151,6 +152,7 @@
             self._run_readiness_server,
             self._run_metrics_server,
             self._run_maintenance,
+            self._gateway.crash_reports.run,
             self._reload_on_sighup,
         ):
             await curio.spawn(task, daemon=True)
--- a/src/kingcupusher/_gateway/state.py
+++ b/src/kingcupusher/_gateway/state.py
@@ -4,7 +4,9 @@
 
 from random import Random
 
-from kingcupusher._discovery import Catalog, Route
+from kingcupusher._core import now_ms as monotonic_ms
+from kingcupusher._discovery import Catalog, CrashSeen, CrashWithdrawn, Route
+from kingcupusher._gateway.crash_reports import CrashReports, CrashStore
 from kingcupusher._gateway.header_codec import HeaderCodec
 from kingcupusher._gateway.load_probe import LoadProber
 from kingcupusher._gateway.selector import TargetSelector
@@ -25,6 +27,7 @@
         "_retry_budgets",
         "_wait_queues",
         "_response_times",
+        "crash_reports",
         "response_memory",
         "catalog",
         "header_codec",
@@ -38,7 +41,13 @@
     )
 
     def __init__(
-        self, settings: GatewaySettings, catalog: Catalog, header_codec: HeaderCodec, log: EventLog
+        self,
+        settings: GatewaySettings,
+        catalog: Catalog,
+        header_codec: HeaderCodec,
+        log: EventLog,
+        *,
+        store: CrashStore,
     ) -> None:
         self.settings = settings
         self.catalog = catalog
@@ -62,6 +71,7 @@
         self._wait_queues: dict[str, WaitQueue] = {}
         self._response_times: dict[str, ResponseTimeEstimate] = {}
         self.response_memory = ResponseMemory(settings.response_memory_bytes)
+        self.crash_reports = CrashReports(store, on_event=self.on_event)
         self.is_stopping = False
 
     def on_event(self, event: str, **fields: object) -> None:
@@ -69,6 +79,19 @@
         self.metrics.count("events_total", labels(event=event))
         self.log.event(event, **fields)
 
+    async def on_target_ended(self, fingerprint: str, target_id: str) -> None:
+        """Record that a target ended its connection during a request, and tell other entries."""
+        crash = CrashSeen(fingerprint, target_id)
+        if self.catalog.crashes.record(fingerprint, target_id, now_ms=monotonic_ms()):
+            self.on_event("target ended under a request", fingerprint=fingerprint, target=target_id)
+            await self.crash_reports.add(crash)
+
+    async def on_request_succeeded(self, fingerprint: str) -> None:
+        """Withdraw the evidence against equal requests, also at other entries."""
+        targets = self.catalog.crashes.on_success(fingerprint, now_ms=monotonic_ms())
+        for target_id in targets:
+            await self.crash_reports.add(CrashWithdrawn(fingerprint, target_id))
+
     def retry_budget(self, service: str) -> WindowedRetryBudget:
         """Return the retry budget of ``service``."""
         budget = self._retry_budgets.get(service)
@@ -103,6 +126,7 @@
             ("entries", ()): len(catalog.live_entries.names(now_ms=now_ms)),
             ("log_lines_dropped_total", ()): self.log.dropped_lines,
             ("questions_total", ()): self.prober.probe_count,
+            ("requests_quarantined", ()): catalog.crashes.refused_count(now_ms=now_ms),
         }
         slack = self.retry_slack(now_ms=now_ms)
         for service in catalog.route_table.services if catalog.route_table else ():
--- a/testing/gateway/fixture.py
+++ b/testing/gateway/fixture.py
@@ -28,6 +28,7 @@
 from kingcupusher._http.pipeline_listener import PipelineListener
 from kingcupusher._observe.events import EventLog
 from testing.gateway.plain_header_codec import PlainHeaderCodec
+from testing.gateway.store import FakeStore
 from testing.gateway.targets import HEALTH_PATH, FakeTarget
 
 LOOPBACK = Address("127.0.0.1", 0)
@@ -116,7 +117,10 @@
         self.log_reader, log_writer = os.pipe()
         self.catalog = Catalog()
         log = EventLog(descriptor=log_writer)
-        self.gateway = GatewayState(settings, self.catalog, PlainHeaderCodec(), log)
+        self.store = FakeStore().client("e1")
+        self.gateway = GatewayState(
+            settings, self.catalog, PlainHeaderCodec(), log, store=self.store
+        )
         self.table = table or route_table()
         self.entries = entries
         self.listener = None
--- a/testing/gateway/store.py
+++ b/testing/gateway/store.py
@@ -146,6 +146,24 @@
         self.store.write(f"reader {reader.slot}", held)
         return lease
 
+    async def create_lease(self, *, ttl_ms):
+        """Return a lease that never ends."""
+        del ttl_ms
+        await self._call(1_000.0)
+        return 1
+
+    async def write_crash(self, crash, *, lease):
+        """Write evidence on a request that ends targets."""
+        del lease
+        await self._call(1_000.0)
+        self.store.write(f"crash {crash.fingerprint} {crash.target_id}", crash)
+        return True
+
+    async def remove_crash(self, crash):
+        """Remove evidence."""
+        await self._call(1_000.0)
+        self.store.remove(f"crash {crash.fingerprint} {crash.target_id}", crash)
+
     async def renew(self, lease):
         """Return whether the lease exists."""
         await self._call(1_000.0)
