Leave out records of other writers that are nested, out of range or unusable

It can happen here: deep nesting raised RecursionError, a number of 400 digits OverflowError, a list as the state TypeError and a superscript digit in the key of a reader slot ValueError, none of which the decoder expected; the task that follows the store ended.

--- a/src/kingcupusher/_config/document.py
+++ b/src/kingcupusher/_config/document.py
@@ -10,6 +10,7 @@
 from kingcupusher._config.errors import DocumentError, MergeError
 from kingcupusher._config.model import ConfigDocument, Publication, Service
 from kingcupusher._config.rules import service_problem
+from kingcupusher._core.json_decoding import JsonError, decode_json
 
 # Covers 40 minutes at the design rate of 2,100 publications a day.
 MAX_HISTORY_LENGTH = 64
@@ -26,8 +27,9 @@
 def decode_document(data: bytes) -> ConfigDocument:
     """Return the document in ``data``; raise DocumentError if it cannot be read."""
     try:
-        return msgspec.json.decode(data, type=ConfigDocument)
-    except msgspec.DecodeError as error:
+        document: ConfigDocument = decode_json(data, ConfigDocument)
+        return document
+    except JsonError as error:
         raise DocumentError(
             f"the stored configuration cannot be read by this release: {error}"
         ) from error
--- a/src/kingcupusher/_entry/members.py
+++ b/src/kingcupusher/_entry/members.py
@@ -8,6 +8,7 @@
 from msgspec import Struct
 
 from kingcupusher._core.address import Address
+from kingcupusher._core.json_decoding import JsonError, decode_json
 from kingcupusher._platform import VersionedValue
 
 MEMBER_PREFIX = "members/"
@@ -74,8 +75,8 @@
         if not value.key.startswith(MEMBER_PREFIX):
             continue
         try:
-            member = msgspec.json.decode(value.value, type=Member)
-        except msgspec.MsgspecError:
+            member = decode_json(value.value, Member)
+        except JsonError:
             continue
         members[member.seat] = member
     return members
@@ -86,11 +87,11 @@
     coordinators = {}
     for value in values:
         number = value.key.removeprefix(COORDINATOR_PREFIX)
-        if number == value.key or not number.isdigit():
+        if number == value.key or not (number.isascii() and number.isdecimal()):
             continue
         try:
-            coordinator = msgspec.json.decode(value.value, type=CoordinatorId)
-        except msgspec.MsgspecError:
+            coordinator = decode_json(value.value, CoordinatorId)
+        except JsonError:
             continue
         coordinators[int(number)] = GroupCoordinator(
             int(number), coordinator, value.revision, value.lease_id
--- a/src/kingcupusher/_platform/calls.py
+++ b/src/kingcupusher/_platform/calls.py
@@ -9,6 +9,7 @@
 
 from kingcupusher._core import now_ms
 from kingcupusher._core.address import Address
+from kingcupusher._core.json_decoding import JsonError, decode_json
 from kingcupusher._http.errors import ConnectError, ExchangeError
 from kingcupusher._http.simple_client import Response, fetch
 from kingcupusher._platform.errors import (
@@ -90,6 +91,7 @@
 
 def _decode(response: Response, kind: type[T], invalid_error: type[PlatformError]) -> T:
     try:
-        return msgspec.json.decode(response.body, type=kind)
-    except msgspec.DecodeError as error:
+        decoded: T = decode_json(response.body, kind)
+        return decoded
+    except JsonError as error:
         raise invalid_error(f"the platform sent an invalid response: {error}") from error
