Start a task of an entry again after an unexpected error

Change: the tasks of an entry are supervised; the event task failed names the task and has the traceback. Result: the new scenario of foreign_records.feature failed before (no routes after 3 s) and passes.

--- a/src/kingcupusher/_gateway/process.py
+++ b/src/kingcupusher/_gateway/process.py
@@ -4,7 +4,8 @@
 
 import signal
 import socket
-from collections.abc import Callable
+import traceback
+from collections.abc import Awaitable, Callable
 from random import Random
 from typing import Protocol
 
@@ -33,6 +34,8 @@
 KILL_MARGIN_MS = 300.0
 METRICS_PATH = "/metrics"
 DRAIN_POLL_INTERVAL_S = 0.02
+TASK_RESTART_DELAY_S = 0.5
+MAX_TRACEBACK_CHARS = 2_000
 
 
 class PlatformStore(ChangeSource, ReaderSlotStore, CrashStore, Protocol):
@@ -155,12 +158,25 @@
             self._gateway.crash_reports.run,
             self._reload_on_sighup,
         ):
-            await curio.spawn(task, daemon=True)
+            await curio.spawn(self._run_supervised, task, daemon=True)
         self._log.event("start", callers=str(settings.caller_address))
         await stop.wait()
         await self._drain(accepting)
         self._log.event("stop")
 
+    async def _run_supervised(self, run: Callable[[], Awaitable[None]]) -> None:
+        """Run a task of the entry until cancelled; start it again after an unexpected error.
+
+        An entry without one of its tasks would go on serving with a state that grows old.
+        """
+        while True:
+            try:
+                await run()
+            except Exception as error:
+                reason = "".join(traceback.format_exception(error))[-MAX_TRACEBACK_CHARS:]
+                self._gateway.on_event("task failed", task=run.__qualname__, reason=reason)
+            await curio.sleep(TASK_RESTART_DELAY_S)
+
     async def _drain(self, accepting: curio.Task) -> None:
         """Report not ready until the balancer stops sending, then finish the accepted requests."""
         assert self._listener is not None
--- a/testing/features/foreign_records.feature
+++ b/testing/features/foreign_records.feature
@@ -49,3 +49,8 @@
 
   Scenario: A deeply nested member record of another writer is skipped
     Then members are read from records of which one is nested 100000 deep
+
+  Scenario: A task of an entry that fails unexpectedly is started again
+    Given an entry whose store client raises an unexpected error once
+    When it runs for 3 s
+    Then it has the routes, and has logged the failed task
