Refuse requests late in a stop instead of sending what cannot be finished

It can happen here: a request behind another on its connection, or one that waited for its turn or for a target, was sent to a target at any time until the end, and a request whose target was still at work then got no response.

--- a/src/kingcupusher/_gateway/exchange.py
+++ b/src/kingcupusher/_gateway/exchange.py
@@ -105,6 +105,8 @@
         if not self._route.is_idempotent:
             await self._caller.wait_for_earlier_responses()
         task = await curio.current_task()
+        drain = self._gateway.drain
+        drain.add(task)
         try:
             async with RequestTimer(task, deadline_ms=self._deadline_ms):
                 return await self._serve()
@@ -119,6 +121,8 @@
             if self._fallback_response is not None:
                 return self._fallback_response
             return TIMED_OUT if self._may_have_executed else TIMED_OUT_BEFORE_SEND
+        finally:
+            drain.discard(task)
 
     async def _find_route(self) -> ErrorResponse | None:
         catalog = self._gateway.catalog
@@ -146,6 +150,8 @@
         self._log.service = self._service.name
         if self._is_quarantined:
             return QUARANTINED
+        if not self._gateway.drain.may_send():
+            return SHUTTING_DOWN
         self._gateway.retry_budget(self._service.name).on_request(now_ms=now_ms())
         self._search = TargetSearch(
             self._gateway,
@@ -156,6 +162,9 @@
             deadline_ms=self._deadline_ms,
         )
         probed = await self._search.find_first()
+        if probed is not None and not self._gateway.drain.may_send():
+            await self._gateway.selector.release([probed])
+            return SHUTTING_DOWN
         while probed is not None and not self._is_quarantined:
             await self._start_attempt(probed)
             response = await self._first_success()
@@ -255,6 +264,8 @@
         has_targets_left = len(self._possibly_executed_by) < self._route.max_targets
         current_ms = now_ms()
         may_retry = self._gateway.catalog.crashes.may_retry(self._fingerprint, now_ms=current_ms)
+        typical_ms = self._gateway.response_time(self._route).typical_ms
+        may_retry = may_retry and self._gateway.drain.may_retry(typical_ms=typical_ms)
         if not (is_safe and has_attempts_left and has_targets_left and may_retry):
             return None
         budget = self._gateway.retry_budget(self._service.name)
@@ -284,7 +295,7 @@
         await self._caller.respond(response.status, headers, response.body, response.reason)
 
     async def _respond_with_error(self, error_response: ErrorResponse) -> None:
-        if error_response.is_not_run and self._gateway.is_stopping:
+        if error_response.is_not_run and self._gateway.drain.is_started:
             error_response = SHUTTING_DOWN
         headers = self._gateway.header_codec.error_response_headers(
             self._caller.head, retry_after_ms=error_response.retry_after_ms
--- a/src/kingcupusher/_gateway/process.py
+++ b/src/kingcupusher/_gateway/process.py
@@ -29,9 +29,6 @@
 from kingcupusher._relay import ReaderSlot, ReaderSlotStore, RelayServer, Subscriptions
 
 MAINTENANCE_INTERVAL_S = 0.5
-BALANCER_REMOVAL_MS = 3_000.0
-"""The balancer checks readiness once a second and removes an entry after two failures."""
-KILL_MARGIN_MS = 300.0
 METRICS_PATH = "/metrics"
 DRAIN_POLL_INTERVAL_S = 0.02
 TASK_RESTART_DELAY_S = 0.5
@@ -135,10 +132,15 @@
         self._listener: PipelineListener | None = None
         catalog.listeners.append(self._on_catalog_event)
 
+    @property
+    def catalog(self) -> Catalog:
+        """Routes, targets, zones and entries that this entry knows."""
+        return self._gateway.catalog
+
     @property
     def is_ready(self) -> bool:
         """Whether the balancer should send new connections here."""
-        return self._gateway.catalog.has_routes and not self._gateway.is_stopping
+        return self._gateway.catalog.has_routes and not self._gateway.drain.is_started
 
     async def run(self) -> None:
         """Serve until SIGTERM, then finish the requests in flight."""
@@ -180,15 +182,16 @@
     async def _drain(self, accepting: curio.Task) -> None:
         """Report not ready until the balancer stops sending, then finish the accepted requests."""
         assert self._listener is not None
-        start_ms = now_ms()
-        end_ms = start_ms + self._gateway.settings.fleet_limits.grace_period_ms - KILL_MARGIN_MS
-        self._gateway.is_stopping = True
+        drain = self._gateway.drain
+        grace_period_ms = self._gateway.settings.fleet_limits.grace_period_ms
+        drain.start(grace_period_ms=grace_period_ms, now_ms=now_ms())
+        await curio.spawn(drain.interrupt_at_deadline, daemon=True)
         self._log.event("draining", connections=self._listener.connection_count)
         self._listener.start_drain()
-        await curio.sleep(BALANCER_REMOVAL_MS / 1000.0)
+        await curio.sleep((drain.last_send_ms - now_ms()) / 1000.0)
         await accepting.cancel()
         await self._listener.close()
-        while self._listener.connection_count and now_ms() < end_ms:
+        while self._listener.connection_count and now_ms() < drain.end_ms:
             await self._listener.close_idle()
             await curio.sleep(DRAIN_POLL_INTERVAL_S)
 
--- a/src/kingcupusher/_gateway/state.py
+++ b/src/kingcupusher/_gateway/state.py
@@ -7,6 +7,7 @@
 from kingcupusher._core import now_ms as monotonic_ms
 from kingcupusher._discovery import Catalog, CrashSeen, CrashWithdrawn, Route
 from kingcupusher._gateway.crash_reports import CrashReports, CrashStore
+from kingcupusher._gateway.drain import Drain
 from kingcupusher._gateway.header_codec import HeaderCodec
 from kingcupusher._gateway.load_probe import LoadProber
 from kingcupusher._gateway.selector import TargetSelector
@@ -28,10 +29,10 @@
         "_wait_queues",
         "_response_times",
         "crash_reports",
+        "drain",
         "response_memory",
         "catalog",
         "header_codec",
-        "is_stopping",
         "target_clients",
         "log",
         "metrics",
@@ -72,7 +73,7 @@
         self._response_times: dict[str, ResponseTimeEstimate] = {}
         self.response_memory = ResponseMemory(settings.response_memory_bytes)
         self.crash_reports = CrashReports(store, on_event=self.on_event)
-        self.is_stopping = False
+        self.drain = Drain()
 
     def on_event(self, event: str, **fields: object) -> None:
         """Log an event and count it in the metrics."""
--- a/testing/gateway/targets.py
+++ b/testing/gateway/targets.py
@@ -31,6 +31,7 @@
         self._delayed_response = b""
         self._refused = ""
         self.cut_bytes = 0
+        self.work_s = 0.0
 
     async def _on_client(self, sock):
         connection = h11.Connection(h11.SERVER)
@@ -81,6 +82,12 @@
         await sock.sendall(self._signed_response(request_id, body))
         return True
 
+    async def _be_working(self, sock, request_id, body):
+        self.executed.append(request_id)
+        await curio.sleep(self.work_s)
+        await sock.sendall(self._signed_response(request_id, body))
+        return True
+
     async def _be_unresponsive(self, sock, request_id, body):
         self.executed.append(request_id)
         if not await sock.recv(1):
