--- /dev/null
+++ b/src/kingcupusher/_gateway/caller_response.py
@@ -0,0 +1,30 @@
+"""Writes the response to a caller: a target's own, or an error response of the entry."""
+
+from __future__ import annotations
+
+from kingcupusher._gateway.error_responses import ErrorResponse
+from kingcupusher._gateway.header_codec import HeaderCodec
+from kingcupusher._http.buffered import BufferedResponse
+from kingcupusher._http.pipeline import CallerRequest
+
+
+async def write_response(
+    caller: CallerRequest, response: BufferedResponse, *, header_codec: HeaderCodec
+) -> None:
+    """Write the response of a target, with its status, headers and body."""
+    headers = header_codec.response_headers(response)
+    headers.append((b"content-length", b"%d" % len(response.body)))
+    await caller.respond(response.status, headers, response.body, response.reason)
+
+
+async def write_error_response(
+    caller: CallerRequest, error_response: ErrorResponse, *, header_codec: HeaderCodec
+) -> None:
+    """Write an error response; its body is the reason as text."""
+    headers = header_codec.error_response_headers(
+        caller.head, retry_after_ms=error_response.retry_after_ms
+    )
+    body = f"{error_response.reason}\n".encode()
+    headers.append((b"content-type", b"text/plain; charset=utf-8"))
+    headers.append((b"content-length", b"%d" % len(body)))
+    await caller.respond(error_response.status, headers, body, b"")
--- a/src/kingcupusher/_gateway/drain.py
+++ b/src/kingcupusher/_gateway/drain.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+from contextlib import contextmanager
 from math import inf
 
 import curio
@@ -50,13 +52,14 @@
         """Return whether the response to a retry that takes ``typical_ms`` comes in time."""
         return now_ms() + typical_ms < self.last_response_ms
 
-    def add(self, task: curio.Task) -> None:
-        """Interrupt ``task`` at the last moment for its response."""
+    @contextmanager
+    def interrupting(self, task: curio.Task) -> Iterator[None]:
+        """Interrupt ``task`` within this block at the last moment for its response."""
         self._serving.add(task)
-
-    def discard(self, task: curio.Task) -> None:
-        """Leave ``task`` alone from now on."""
-        self._serving.discard(task)
+        try:
+            yield
+        finally:
+            self._serving.discard(task)
 
     async def interrupt_at_deadline(self) -> None:
         """Raise :class:`DeadlineError` in the tasks that still serve a request at the deadline."""
--- a/src/kingcupusher/_gateway/exchange.py
+++ b/src/kingcupusher/_gateway/exchange.py
@@ -9,13 +9,13 @@
 from kingcupusher._core import now_ms
 from kingcupusher._discovery import Route, ServiceConfig
 from kingcupusher._gateway.attempt import Attempt, AttemptOutcome, AttemptResult
+from kingcupusher._gateway.caller_response import write_error_response, write_response
 from kingcupusher._gateway.concurrent_attempts import ConcurrentAttempts
 from kingcupusher._gateway.error_responses import (
     INCOMPLETE_RESPONSE,
     NO_ROUTE,
     NO_ROUTES_YET,
     NO_TARGET,
-    QUARANTINED,
     SHUTTING_DOWN,
     TIMED_OUT,
     TIMED_OUT_BEFORE_SEND,
@@ -24,6 +24,7 @@
 from kingcupusher._gateway.load_probe import ProbedTarget
 from kingcupusher._gateway.request_fingerprint import request_fingerprint
 from kingcupusher._gateway.request_log import RequestLog
+from kingcupusher._gateway.send_rules import SendRules
 from kingcupusher._gateway.state import GatewayState
 from kingcupusher._gateway.target_search import TargetSearch
 from kingcupusher._http.buffered import BufferedResponse
@@ -52,6 +53,7 @@
         "_log",
         "_in_flight",
         "_request_id",
+        "_rules",
         "_route",
         "_possibly_executed_by",
         "_attempts",
@@ -65,6 +67,7 @@
         self._request_id = gateway.header_codec.request_id(caller.head)
         self._log = RequestLog(self._request_id, log=gateway.log, metrics=gateway.metrics)
         self._fingerprint = request_fingerprint(caller.head, caller.body)
+        self._rules = SendRules(gateway, fingerprint=self._fingerprint)
         self._deadline_ms = 0.0
         self._route: Route | None = None
         self._service: ServiceConfig | None = None
@@ -78,10 +81,6 @@
     def _may_have_executed(self) -> bool:
         return bool(self._possibly_executed_by)
 
-    @property
-    def _is_quarantined(self) -> bool:
-        return self._gateway.catalog.crashes.is_refused(self._fingerprint, now_ms=now_ms())
-
     async def run(self) -> None:
         """Find targets for the request and respond to the caller."""
         try:
@@ -92,10 +91,7 @@
             raise
         finally:
             await self._in_flight.cancel_running()
-        if isinstance(response, ErrorResponse):
-            await self._respond_with_error(response)
-        else:
-            await self._deliver(response)
+        await self._respond(response)
 
     async def _produce_response(self) -> BufferedResponse | ErrorResponse:
         error_response = await self._find_route()
@@ -105,11 +101,10 @@
         if not self._route.is_idempotent:
             await self._caller.wait_for_earlier_responses()
         task = await curio.current_task()
-        drain = self._gateway.drain
-        drain.add(task)
         try:
             async with RequestTimer(task, deadline_ms=self._deadline_ms):
-                return await self._serve()
+                with self._gateway.drain.interrupting(task):
+                    return await self._serve()
         except DeadlineError:
             ready = await self._in_flight.take_completed_success()
             if ready is not None and ready.response is not None:
@@ -121,8 +116,6 @@
             if self._fallback_response is not None:
                 return self._fallback_response
             return TIMED_OUT if self._may_have_executed else TIMED_OUT_BEFORE_SEND
-        finally:
-            drain.discard(task)
 
     async def _find_route(self) -> ErrorResponse | None:
         catalog = self._gateway.catalog
@@ -148,10 +141,9 @@
         if self._service is None:
             return NO_TARGET
         self._log.service = self._service.name
-        if self._is_quarantined:
-            return QUARANTINED
-        if not self._gateway.drain.may_send():
-            return SHUTTING_DOWN
+        refusal = self._rules.refusal()
+        if refusal is not None:
+            return refusal
         self._gateway.retry_budget(self._service.name).on_request(now_ms=now_ms())
         self._search = TargetSearch(
             self._gateway,
@@ -162,17 +154,16 @@
             deadline_ms=self._deadline_ms,
         )
         probed = await self._search.find_first()
-        if probed is not None and not self._gateway.drain.may_send():
+        refusal = self._rules.refusal()
+        if probed is not None and refusal is not None:
             await self._gateway.selector.release([probed])
-            return SHUTTING_DOWN
-        while probed is not None and not self._is_quarantined:
+            return refusal
+        while probed is not None:
             await self._start_attempt(probed)
             response = await self._first_success()
             if response is not None:
                 return response
             probed = await self._next_target()
-        if probed is not None:
-            await self._gateway.selector.release([probed])
         return self._final_response()
 
     async def _first_success(self) -> BufferedResponse | None:
@@ -262,15 +253,11 @@
         is_safe = self._route.is_idempotent or not self._may_have_executed
         has_attempts_left = len(self._attempts) < MAX_ATTEMPTS
         has_targets_left = len(self._possibly_executed_by) < self._route.max_targets
-        current_ms = now_ms()
-        may_retry = self._gateway.catalog.crashes.may_retry(self._fingerprint, now_ms=current_ms)
-        typical_ms = self._gateway.response_time(self._route).typical_ms
-        may_retry = may_retry and self._gateway.drain.may_retry(typical_ms=typical_ms)
-        if not (is_safe and has_attempts_left and has_targets_left and may_retry):
+        if not (is_safe and has_attempts_left and has_targets_left):
             return None
-        budget = self._gateway.retry_budget(self._service.name)
-        slack = self._gateway.retry_slack(now_ms=current_ms)
-        if not budget.try_spend(slack=slack - reserve, now_ms=current_ms):
+        if not self._rules.may_retry(self._route):
+            return None
+        if not self._rules.spend_retry(self._service, reserve=reserve):
             return None
         probed: ProbedTarget | None = None
         try:
@@ -278,33 +265,24 @@
             return probed
         finally:
             if probed is None:
-                budget.refund()
+                self._rules.refund_retry(self._service)
 
     def _final_response(self) -> BufferedResponse | ErrorResponse:
         assert self._search is not None
         if self._fallback_response is not None:
             return self._fallback_response
-        if self._may_have_executed:
-            return INCOMPLETE_RESPONSE
-        return QUARANTINED if self._is_quarantined else self._search.refusal
-
-    async def _deliver(self, response: BufferedResponse) -> None:
-        headers = self._gateway.header_codec.response_headers(response)
-        headers.append((b"content-length", b"%d" % len(response.body)))
-        self._log_end(response.status, "delivered")
-        await self._caller.respond(response.status, headers, response.body, response.reason)
+        return INCOMPLETE_RESPONSE if self._may_have_executed else self._search.refusal
 
-    async def _respond_with_error(self, error_response: ErrorResponse) -> None:
-        if error_response.is_not_run and self._gateway.drain.is_started:
-            error_response = SHUTTING_DOWN
-        headers = self._gateway.header_codec.error_response_headers(
-            self._caller.head, retry_after_ms=error_response.retry_after_ms
-        )
-        body = f"{error_response.reason}\n".encode()
-        headers.append((b"content-type", b"text/plain; charset=utf-8"))
-        headers.append((b"content-length", b"%d" % len(body)))
-        self._log_end(error_response.status, error_response.reason)
-        await self._caller.respond(error_response.status, headers, body, b"")
+    async def _respond(self, response: BufferedResponse | ErrorResponse) -> None:
+        header_codec = self._gateway.header_codec
+        if isinstance(response, BufferedResponse):
+            self._log_end(response.status, "delivered")
+            await write_response(self._caller, response, header_codec=header_codec)
+            return
+        if response.is_not_run and self._gateway.drain.is_started:
+            response = SHUTTING_DOWN
+        self._log_end(response.status, response.reason)
+        await write_error_response(self._caller, response, header_codec=header_codec)
 
     def _log_abandoned(self, outcome: AttemptOutcome, reason: str) -> None:
         """Log the attempts in flight, which are abandoned without a response."""
