End an outage in an entry that learns of its end from a reader

Change: a confirmation of a reader from after the first failure ends the outage. Result: the new scenario of store_outage.feature failed before (the target was still there 2 s after its removal) and passes; relay.feature and store_outage.feature pass.

--- a/src/kingcupusher/_discovery/follower.py
+++ b/src/kingcupusher/_discovery/follower.py
@@ -183,6 +183,7 @@
         self._heard_ms = now_ms()
         if position <= self.position:
             self._confirm(confirmed_ms, source=reader)
+            self._end_outage_known_to(reader)
 
     def lacks_update(self, position: StorePosition | None) -> bool:
         """Return whether an entry at ``position`` lacks changes that this entry has."""
@@ -238,6 +239,13 @@
             unconfirmed_ms = round(now_ms() - before_ms) if before_ms else None
             self._on_event("state confirmed", source=source, unconfirmed_ms=unconfirmed_ms)
 
+    def _end_outage_known_to(self, reader: str) -> None:
+        """End an outage whose end ``reader`` knows; its changes tell which registrations lapsed."""
+        if self._failing_since_ms is not None and self.confirmed_ms > self._failing_since_ms:
+            outage_ms = round(now_ms() - self._failing_since_ms)
+            self._failing_since_ms = None
+            self._on_event("store regained", outage_ms=outage_ms, source=reader)
+
     def _record_success(self, confirmed_ms: float) -> None:
         self._confirm(confirmed_ms, source=OWN_CALL)
         self._response_timeout_ms = max(RESPONSE_TIMEOUT_MS, self._response_timeout_ms / 2.0)
@@ -247,7 +255,7 @@
         self._failing_since_ms = None
         # An unresponsive store is detected late: a short failure may be the end of a long outage.
         self._start_reregistration()
-        self._on_event("store regained", outage_ms=round(outage_ms))
+        self._on_event("store regained", outage_ms=round(outage_ms), source=OWN_CALL)
 
     def _record_failure(self, error: ChangeSourceError) -> None:
         self._response_timeout_ms = min(MAX_RESPONSE_TIMEOUT_MS, self._response_timeout_ms * 1.5)
--- a/testing/features/steps/store_outage_steps.py
+++ b/testing/features/steps/store_outage_steps.py
@@ -5,12 +5,13 @@
 from functools import partial
 
 import curio
-from behave import then
+from behave import then, when
 
 from kingcupusher._core import now_ms
-from kingcupusher._discovery import RoutesPublished
+from kingcupusher._discovery import RoutesPublished, TargetGone, TargetSeen
 from testing.gateway.cluster import Cluster
-from testing.gateway.fixture import route_table
+from testing.gateway.fixture import registration, route_table
+from testing.gateway.targets import FakeTarget
 
 RESTART_DELAY_S = 1.0
 OUTAGE_PHASE_S = 2.75
@@ -103,3 +104,33 @@
 )
 def then_in_time_without_state(context, low_s, high_s, bound_s):
     _check_outages(low_s, high_s, bound_s, _restart_all_without_state)
+
+
+@when("all readers are killed and a target is removed")
+def when_readers_killed(context):
+    async def step(cluster):
+        target = FakeTarget("t0", "healthy")
+        await target.start()
+        cluster.store.write("t0", TargetSeen(registration(target)))
+        await curio.sleep(1.5)
+        for name in cluster.readers():
+            await cluster.stop(name)
+        cluster.store.remove("t0", TargetGone("t0"))
+        cluster.removed_ms = now_ms()
+        await target.stop()
+
+    context.steps.append(step)
+
+
+@then("every running entry is without the target within {bound_s:g} s")
+def then_without_target(context, bound_s):
+    # Guards against a target that stays usable as if its registration had lapsed in an outage.
+    async def check(cluster):
+        def is_gone():
+            members = [cluster.members[name] for name in cluster.running]
+            return not any("t0" in member.catalog.targets for member in members)
+
+        left_ms = cluster.removed_ms + bound_s * 1_000.0 - now_ms()
+        assert await cluster.wait_for(is_gone, within_ms=left_ms)
+
+    context.steps.append(check)
