Send nothing to targets that announce a departure, or a pause until its end

Change: the codec decodes both into one type, a table by instance keeps them, and the catalog, the probe order, the quotas, the wait queue and retries respect them; if all targets are paused a request is refused at once, with a spread Retry-After.

--- a/src/kingcupusher/_discovery/catalog.py
+++ b/src/kingcupusher/_discovery/catalog.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from random import Random
 
 from kingcupusher._core import Registry
 from kingcupusher._discovery.changes import (
@@ -20,6 +21,7 @@
 from kingcupusher._discovery.live_entries import LiveEntries
 from kingcupusher._discovery.model import Route, RouteTable, ServiceConfig, TargetRegistration
 from kingcupusher._discovery.weighted_round_robin import WeightedRoundRobin
+from kingcupusher._limits.announcements import TargetAnnouncements
 from kingcupusher._limits.crash_quarantine import CrashQuarantine
 
 REREGISTRATION_GRACE_MS = 2_200.0
@@ -52,6 +54,7 @@
         "_by_host",
         "_grace_end_ms",
         "_round_robins",
+        "announcements",
         "crashes",
         "listeners",
         "live_entries",
@@ -69,6 +72,7 @@
         self._by_host: dict[bytes, list[Route]] = {}
         self.readers: dict[int, ReaderSeen] = {}
         self.live_entries = LiveEntries()
+        self.announcements = TargetAnnouncements(Random())
         self.crashes = CrashQuarantine()
         self._grace_end_ms = 0.0
         self._round_robins: dict[tuple[str, tuple[object, ...]], WeightedRoundRobin] = {}
@@ -125,7 +129,7 @@
         return self.route_table.services.get(round_robin.next_service())
 
     def usable_targets(self, service: str) -> list[Target]:
-        """Return the targets of ``service`` that neither drain nor are in a zone taken out."""
+        """Return the targets of ``service`` that neither leave nor are in a zone taken out."""
         return [
             target
             for target in self.targets.values()
@@ -149,7 +153,9 @@
     # -- details
 
     def _accepts_requests(self, target: Target) -> bool:
-        return not target.record.is_draining and target.record.zone not in self.zones_out
+        record = target.record
+        is_leaving = record.is_draining or self.announcements.is_leaving(record.instance)
+        return not is_leaving and record.zone not in self.zones_out
 
     def _remove_target(self, target_id: str, reason: str) -> None:
         if self.targets.pop(target_id, None) is not None:
--- a/src/kingcupusher/_discovery/model.py
+++ b/src/kingcupusher/_discovery/model.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from kingcupusher._core.address import Address
+from kingcupusher._limits.announcements import TargetInstance
 
 
 class WeightedService(Struct, frozen=True):
@@ -71,3 +72,8 @@
     is_draining: bool
     cold_left_ms: float
     born_unix_ms: int
+
+    @property
+    def instance(self) -> TargetInstance:
+        """The process that registered itself."""
+        return TargetInstance(self.target_id, self.born_unix_ms)
--- a/src/kingcupusher/_gateway/attempt.py
+++ b/src/kingcupusher/_gateway/attempt.py
@@ -14,6 +14,7 @@
 from kingcupusher._http.errors import ExchangeError, ResetError
 from kingcupusher._http.heads import RequestHead
 from kingcupusher._http.response_memory import ResponseMemory
+from kingcupusher._limits.announcements import NO_ANNOUNCEMENT, Announcement
 
 
 class AttemptOutcome(Enum):
@@ -47,6 +48,7 @@
     reason: str = ""
     fingerprint: str | None = None
     """That of the request, if the connection ended without a complete response."""
+    announcement: Announcement = NO_ANNOUNCEMENT
 
 
 class Attempt:
@@ -125,7 +127,8 @@
         outcome = OUTCOME_BY_RESPONSE_KIND[kind]
         if kind is ResponseKind.INVALID:
             return AttemptResult(self, outcome, reason="the response is not the target's own")
-        return AttemptResult(self, outcome, response)
+        announcement = self._header_codec.announcement(response)
+        return AttemptResult(self, outcome, response, announcement=announcement)
 
     async def _read_own_response(self, connection: ClientConnection) -> BufferedResponse:
         """Return the first response that names this request; skip late ones to earlier requests.
--- a/src/kingcupusher/_gateway/error_responses.py
+++ b/src/kingcupusher/_gateway/error_responses.py
@@ -5,8 +5,12 @@
 
 from __future__ import annotations
 
+from random import random
+
 from msgspec import Struct
 
+PAUSE_SPREAD = 0.5
+
 
 class ErrorResponse(Struct, frozen=True, kw_only=True):
     """An error response; ``retry_after_ms`` is the value of ``Retry-After``, None without one."""
@@ -41,3 +45,15 @@
 )
 TIMED_OUT = ErrorResponse(status=504, reason="the time for the request ended before its response")
 INCOMPLETE_RESPONSE = ErrorResponse(status=502, reason="the target gave no complete response")
+
+
+def targets_paused(remaining_ms: float) -> ErrorResponse:
+    """Return the refusal while all targets are paused, the first for ``remaining_ms``.
+
+    Random times keep the refused callers from coming back together.
+    """
+    return ErrorResponse(
+        status=503,
+        reason="all targets asked for a pause",
+        retry_after_ms=max(0.0, remaining_ms) * (1.0 + random() * PAUSE_SPREAD),
+    )
--- a/src/kingcupusher/_gateway/exchange.py
+++ b/src/kingcupusher/_gateway/exchange.py
@@ -240,6 +240,10 @@
         if result.fingerprint is not None:
             target_id = result.attempt.probed.target.target_id
             await self._gateway.on_target_ended(result.fingerprint, target_id)
+        client = result.attempt.probed.client
+        self._gateway.target_clients.record_announcement(
+            client, result.announcement, request_id=self._request_id.decode("latin-1")
+        )
         if result.outcome is AttemptOutcome.NOT_RUN:
             self._possibly_executed_by.discard(result.attempt.probed.target.target_id)
         elif result.outcome is AttemptOutcome.FAILURE:
--- a/src/kingcupusher/_gateway/header_codec.py
+++ b/src/kingcupusher/_gateway/header_codec.py
@@ -9,6 +9,7 @@
 
 from kingcupusher._http.buffered import BufferedResponse
 from kingcupusher._http.heads import HeaderList, RequestHead
+from kingcupusher._limits.announcements import NO_ANNOUNCEMENT, Announcement
 from kingcupusher._routing.load_reading import LoadReading
 
 
@@ -22,10 +23,11 @@
 
 
 class ProbeResponse(Struct, frozen=True):
-    """Response to a load probe: the target that sent it and its load."""
+    """Response to a load probe: the target that sent it, its load and what it announces."""
 
     target_id: str
     reading: LoadReading
+    announcement: Announcement = NO_ANNOUNCEMENT
 
 
 class HeaderCodec(Protocol):
@@ -48,6 +50,9 @@
     def classify(self, response: BufferedResponse) -> ResponseKind:
         """Return the kind of ``response``."""
 
+    def announcement(self, response: BufferedResponse) -> Announcement:
+        """Return what the target that sent ``response`` announces in it."""
+
     def response_headers(self, response: BufferedResponse) -> HeaderList:
         """Return the headers of ``response`` that the caller receives."""
 
--- a/src/kingcupusher/_gateway/load_probe.py
+++ b/src/kingcupusher/_gateway/load_probe.py
@@ -176,6 +176,7 @@
             is_target = parsed is not None and parsed.target_id == client.target.target_id
             if parsed is not None and is_target and connection.is_complete():
                 self._clients.record_reading(client, parsed.reading)
+                self._clients.record_announcement(client, parsed.announcement, request_id=None)
                 probed = ProbedTarget(client, connection, parsed.reading)
         finally:
             if probed is None:
--- a/src/kingcupusher/_gateway/request_quotas.py
+++ b/src/kingcupusher/_gateway/request_quotas.py
@@ -32,6 +32,8 @@
 
     def has_room(self, probed: ProbedTarget, service: ServiceConfig) -> bool:
         """Return whether one more request stays within the limits in the load reading."""
+        if self._paused_until_ms(probed.client) > now_ms():
+            return False
         quotas = self._quotas(probed, service)
         return probed.client.sends.has_room(quotas, now_ms=now_ms())
 
@@ -50,8 +52,10 @@
             probed.client.sends.remove_newest()
 
     def is_exhausted(self, client: TargetClient) -> bool:
-        """Return whether a recent load reading states a rate that leaves no room."""
+        """Return whether the target is paused, or a recent reading states a rate without room."""
         current_ms = now_ms()
+        if self._paused_until_ms(client) > current_ms:
+            return True
         if current_ms - client.rate_limit_read_ms > RATE_RECHECK_MS:
             return False
         quota = self._rate_quota(client)
@@ -60,15 +64,19 @@
     def next_opening_ms(
         self, service: ServiceConfig, *, exclude: Collection[str], position: int
     ) -> float:
-        """Return when the stated rates leave room for the waiting request at ``position``.
+        """Return when pauses and stated rates leave room for the waiting request at ``position``.
 
-        The result is the current time if a target states no rate, or if there are no targets.
+        The result is the current time if a target states neither, or if there are no targets.
         """
         current_ms = now_ms()
         targets = self._catalog.usable_targets(service.name)
         openings_ms: list[float] = []
         for target in targets:
             client = self._clients.get(target)
+            paused_until_ms = self._paused_until_ms(client)
+            if paused_until_ms > current_ms:
+                openings_ms += [paused_until_ms] * (position + 1)
+                continue
             quota = self._rate_quota(client)
             if quota is None:
                 return current_ms
@@ -78,6 +86,16 @@
             return current_ms
         return sorted(openings_ms)[position] if position < len(openings_ms) else inf
 
+    def all_paused_until_ms(self, service: ServiceConfig) -> float | None:
+        """Return the earliest end of a pause if all targets of ``service`` are paused."""
+        targets = self._catalog.usable_targets(service.name)
+        ends_ms = [self._paused_until_ms(self._clients.get(target)) for target in targets]
+        is_paused = bool(ends_ms) and min(ends_ms) > now_ms()
+        return min(ends_ms) if is_paused else None
+
+    def _paused_until_ms(self, client: TargetClient) -> float:
+        return self._catalog.announcements.paused_until_ms(client.target.record.instance)
+
     def _quotas(self, probed: ProbedTarget, service: ServiceConfig) -> list[SendQuota]:
         quotas = []
         if probed.reading.is_cold:
--- a/src/kingcupusher/_gateway/state.py
+++ b/src/kingcupusher/_gateway/state.py
@@ -137,6 +137,9 @@
             values["targets", labels(service=service, usable="no")] = known - usable
             limited = self.target_clients.rate_limited_count(service)
             values["targets_rate_limited", labels(service=service)] = limited
+            for state in ("leaving", "paused"):
+                announced = self.target_clients.announced_count(service, state)
+                values["targets_announced", labels(service=service, state=state)] = announced
             remaining = self.retry_budget(service).remaining(slack=slack, now_ms=now_ms)
             values["repeats_left", labels(service=service)] = remaining
         return values
--- a/src/kingcupusher/_gateway/target_clients.py
+++ b/src/kingcupusher/_gateway/target_clients.py
@@ -4,9 +4,16 @@
 
 from collections.abc import Callable
 
+from kingcupusher._core import Registry, now_ms
 from kingcupusher._discovery import Catalog, Target
 from kingcupusher._http.buffered import BufferedResponse
 from kingcupusher._http.pool import ConnectionPool
+from kingcupusher._limits.announcements import (
+    NO_ANNOUNCEMENT,
+    Announcement,
+    TargetAnnouncements,
+    TargetInstance,
+)
 from kingcupusher._limits.send_window import SendWindow
 from kingcupusher._limits.shares import EntryRank
 from kingcupusher._limits.token_bucket import TokenBucket
@@ -23,6 +30,24 @@
 """Probes that a new target may get before the entry's share of the probe rate is set."""
 
 
+AnnouncedState = str
+ANNOUNCED_STATES: Registry[Callable[[TargetAnnouncements, TargetInstance, float], bool]] = Registry(
+    "announced state"
+)
+
+
+@ANNOUNCED_STATES.register("leaving")
+def _is_leaving(
+    announcements: TargetAnnouncements, instance: TargetInstance, now_ms: float  # noqa: ARG001
+) -> bool:
+    return announcements.is_leaving(instance)
+
+
+@ANNOUNCED_STATES.register("paused")
+def _is_paused(announcements: TargetAnnouncements, instance: TargetInstance, now_ms: float) -> bool:
+    return announcements.is_paused(instance, now_ms=now_ms)
+
+
 class TargetClient:
     """Connections of this entry to one target, and the limits on their use."""
 
@@ -123,6 +148,35 @@
         self._clients[target.target_id] = client
         return client
 
+    def record_announcement(
+        self, client: TargetClient, announcement: Announcement, *, request_id: str | None
+    ) -> None:
+        """Record what a target announced in the response to a request, or to a load probe."""
+        if announcement is NO_ANNOUNCEMENT:
+            return
+        instance = client.target.record.instance
+        is_new = self._catalog.announcements.record(instance, announcement, now_ms=now_ms())
+        if is_new or announcement.problem:
+            self._on_event(
+                "target announcement",
+                id=request_id,
+                target=client.target.target_id,
+                service=client.target.record.service,
+                leaving=announcement.is_leaving,
+                pause_ms=announcement.pause_ms,
+                ignored=announcement.problem,
+            )
+
+    def announced_count(self, service: str, kind: AnnouncedState) -> int:
+        """Return how many known targets of ``service`` are in the announced state ``kind``."""
+        is_in_state = ANNOUNCED_STATES.get(kind)
+        announcements, current_ms = self._catalog.announcements, now_ms()
+        return sum(
+            is_in_state(announcements, target.record.instance, current_ms)
+            for target in self._catalog.targets.values()
+            if target.record.service == service
+        )
+
     def record_reading(self, client: TargetClient, reading: LoadReading) -> None:
         """Record the latest load reading, with the request rate that the target states in it."""
         client.last_reading = reading
--- a/src/kingcupusher/_gateway/target_search.py
+++ b/src/kingcupusher/_gateway/target_search.py
@@ -6,7 +6,12 @@
 
 from kingcupusher._core import now_ms
 from kingcupusher._discovery import Route, ServiceConfig
-from kingcupusher._gateway.error_responses import NO_TARGET, TARGETS_EXHAUSTED, ErrorResponse
+from kingcupusher._gateway.error_responses import (
+    NO_TARGET,
+    TARGETS_EXHAUSTED,
+    ErrorResponse,
+    targets_paused,
+)
 from kingcupusher._gateway.load_probe import ProbedTarget
 from kingcupusher._gateway.request_log import RequestLog
 from kingcupusher._gateway.state import GatewayState
@@ -54,7 +59,7 @@
     async def find_first(self) -> ProbedTarget | None:
         """Return an acceptable target; after a limited wait, also one of fair cost.
 
-        There is no wait if the request rates that the targets state leave no room in time.
+        There is no wait if the pauses and request rates of the targets leave no room in time.
         """
         wait_queue = self._gateway.wait_queue(self._service.name)
         criteria = AcceptanceCriteria(
@@ -71,13 +76,19 @@
             self._service, exclude=self._tried_targets, position=len(wait_queue)
         )
         if opening_ms > criteria.wait_until_ms:
-            self.refusal = TARGETS_EXHAUSTED
+            self.refusal = self._paused_refusal() or TARGETS_EXHAUSTED
             return None
         return await self._wait(criteria) or await self._probe(criteria, is_last=True)
 
+    def _paused_refusal(self) -> ErrorResponse | None:
+        until_ms = self._gateway.selector.quotas.all_paused_until_ms(self._service)
+        return None if until_ms is None else targets_paused(until_ms - now_ms())
+
     async def find_another(self, *, max_cost: float = inf) -> ProbedTarget | None:
         """Return the best target that was not tried yet and costs at most ``max_cost``."""
         probed = await self._probe(None)
+        if probed is None and self.refusal is NO_TARGET:
+            self.refusal = self._paused_refusal() or NO_TARGET
         if probed is not None and self._gateway.selector.cost(probed) > max_cost:
             await self._gateway.selector.release([probed])
             return None
--- a/testing/features/deadly_requests.feature
+++ b/testing/features/deadly_requests.feature
@@ -3,7 +3,7 @@
 
   Scenario Outline: An entry refuses a request under which three targets have ended
     Given a gateway with these targets: cut_in_head,cut_in_head,cut_in_head,cut_in_head,cut_in_head,cut_in_head
-    When a caller sends it the same <request> 8 times
+    When a caller repeats one <request> 8 times
     Then targets have run it 3 times, and the last caller got status 503 with a Retry-After header
 
     Examples:
--- a/testing/features/steps/deadly_requests_steps.py
+++ b/testing/features/steps/deadly_requests_steps.py
@@ -18,7 +18,7 @@
 WAITS_MS = {"wait": 11_000.0, "long": 601_000.0}
 
 
-@when("a caller sends it the same {name:w} {count:d} times")
+@when("a caller repeats one {name:w} {count:d} times")
 def when_same_request(context, name, count):
     async def main():
         async with GatewayFixture(context.behaviours, **context.options) as fixture:
--- a/testing/features/steps/gateway_steps.py
+++ b/testing/features/steps/gateway_steps.py
@@ -11,11 +11,11 @@
 from kingcupusher._discovery import TargetGone, TargetSeen, ZoneTakenOut
 from kingcupusher._gateway import FleetLimits
 from testing.gateway.fixture import (
-    GatewayFixture,
     read_responses,
     registration,
     request_bytes,
     route_table,
+    run_with_fixture,
 )
 
 REQUESTS = {
@@ -31,20 +31,6 @@
 FULL_LOAD = "3,9,100,0"
 
 
-def run(context, action):
-    """Run ``action`` with a fixture that the Given steps have prepared."""
-
-    async def main():
-        async with GatewayFixture(context.behaviours, **context.options) as fixture:
-            context.fixture = fixture
-            for prepare in context.preparations:
-                await prepare(fixture)
-            async with curio.timeout_after(20):
-                return await action(fixture)
-
-    return curio.run(main)
-
-
 def _set_up(context, behaviours, **options):
     context.behaviours = behaviours
     context.options = options
@@ -121,7 +107,7 @@
         return await sock.recv(65_536)
 
     started_ms = now_ms()
-    context.received = run(context, action)
+    context.received = run_with_fixture(context, action)
     context.elapsed_ms = now_ms() - started_ms
 
 
@@ -139,7 +125,7 @@
         await _in_turn(fixture, 2)
         await fixture.call("transfer", "r2")
 
-    run(context, action)
+    run_with_fixture(context, action)
 
 
 @then("the connection ended within {bound_ms:d} ms")
@@ -256,14 +242,16 @@
         context.count = int(words[0])
         action = _at_once if request.endswith("at once") else _in_turn
         options = {"timeout_ms": 200} if "short-timeout" in words else {}
-        context.responses = run(context, lambda fixture: action(fixture, context.count, **options))
+        context.responses = run_with_fixture(
+            context, lambda fixture: action(fixture, context.count, **options)
+        )
         return
     if request == "three lookups in turn":
-        context.responses = run(context, lambda fixture: _in_turn(fixture, 3))
+        context.responses = run_with_fixture(context, lambda fixture: _in_turn(fixture, 3))
         return
     name, options = REQUESTS[request]
     started_ms = now_ms()
-    context.response = run(context, lambda fixture: fixture.call(name, **options))
+    context.response = run_with_fixture(context, lambda fixture: fixture.call(name, **options))
     context.elapsed_ms = now_ms() - started_ms
 
 
@@ -284,7 +272,7 @@
         assert fixture.targets[0].received == ["r0"], fixture.targets[0].received
         return await fixture.call("transfer", "r1")
 
-    context.response = run(context, action)
+    context.response = run_with_fixture(context, action)
 
 
 @then("the second transfer ran once and got status {status:d}")
@@ -310,7 +298,7 @@
             statuses.append(status)
         return statuses
 
-    context.statuses = run(context, action)
+    context.statuses = run_with_fixture(context, action)
 
 
 @then("every transfer gets status {status:d}")
@@ -330,7 +318,7 @@
         context.elapsed_ms = now_ms() - started_ms
         return responses
 
-    context.responses = run(context, action)
+    context.responses = run_with_fixture(context, action)
 
 
 @when("a caller sends a lookup and closes its connection")
@@ -347,7 +335,7 @@
             await curio.sleep(0.005)
         return now_ms() - closed_ms
 
-    context.elapsed_ms = run(context, action)
+    context.elapsed_ms = run_with_fixture(context, action)
 
 
 def _execution_count(context):
--- a/testing/gateway/fixture.py
+++ b/testing/gateway/fixture.py
@@ -201,3 +201,17 @@
         rest = parser.trailing_data[0]
         responses.append((head.status_code, dict(head.headers), body))
     return responses
+
+
+def run_with_fixture(context, action):
+    """Run ``action`` with a fixture that the steps of ``context`` have prepared."""
+
+    async def main():
+        async with GatewayFixture(context.behaviours, **context.options) as fixture:
+            context.fixture = fixture
+            for prepare in context.preparations:
+                await prepare(fixture)
+            async with curio.timeout_after(20):
+                return await action(fixture)
+
+    return curio.run(main)
--- a/testing/gateway/plain_header_codec.py
+++ b/testing/gateway/plain_header_codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from kingcupusher._gateway.header_codec import ProbeResponse, ResponseKind
+from kingcupusher._limits.announcements import Announcement
 from kingcupusher._routing.load_reading import LoadReading
 
 REPLACED_HEADERS = frozenset(
@@ -69,4 +70,12 @@
             read_ms=now_ms,
             max_requests_per_s=rate[0] if rate else None,
         )
-        return ProbeResponse(response.header(b"x-target").decode(), reading)
+        target_id = response.header(b"x-target").decode()
+        return ProbeResponse(target_id, reading, self.announcement(response))
+
+    def announcement(self, response):
+        """Return ``x-leaving`` and ``x-pause-ms``."""
+        pause = response.header(b"x-pause-ms")
+        return Announcement(
+            response.header(b"x-leaving") is not None, None if pause is None else float(pause)
+        )
--- a/testing/gateway/targets.py
+++ b/testing/gateway/targets.py
@@ -32,6 +32,9 @@
         self._refused = ""
         self.cut_bytes = 0
         self.work_s = 0.0
+        self.announced = []
+        """Headers added to responses to requests."""
+        self.announced_in_probes = []
 
     async def _on_client(self, sock):
         connection = h11.Connection(h11.SERVER)
@@ -59,6 +62,7 @@
             self.probe_count += 1
             status = 503 if self.behaviour == "unhealthy" else 200
             headers = [("x-load", self.load), ("x-target", self.target_id)]
+            headers += self.announced_in_probes
             await sock.sendall(_response(status, headers, b""))
             return True
         request_id = dict(head.headers).get(b"x-id", b"").decode()
@@ -66,7 +70,7 @@
         return await getattr(self, f"_be_{self.behaviour}")(sock, request_id, body)
 
     def _signed_response(self, request_id, body, status=200):
-        headers = [("x-id", request_id), ("x-signed", self.target_id)]
+        headers = [("x-id", request_id), ("x-signed", self.target_id), *self.announced]
         return _response(status, headers, b"answer to " + request_id.encode() + body)
 
     async def _be_healthy(self, sock, request_id, body):
@@ -119,7 +123,7 @@
         return True
 
     def _refusal(self, headers):
-        return _response(503, [*headers, ("x-not-run", "1")], b"")
+        return _response(503, [*headers, ("x-not-run", "1"), *self.announced], b"")
 
     async def _be_refusing_twice(self, sock, request_id, body):
         """Refuse the first request; send that refusal again before the response to the next."""
