Count only ended connections as evidence against a request

Found on reading: complete responses that name no request, such as refusals of a target without the identifier, counted as targets that had ended, and three of them refused the request for 10 minutes. Change: they have an error of their own, which is no evidence. Result: the new scenario of deadly_requests.feature failed before and passes; deadly_requests and gateway pass.

--- a/src/kingcupusher/_gateway/attempt.py
+++ b/src/kingcupusher/_gateway/attempt.py
@@ -11,12 +11,16 @@
 from kingcupusher._gateway.load_probe import ProbedTarget
 from kingcupusher._http.buffered import BufferedResponse, encode_request, read_response
 from kingcupusher._http.client_connection import ClientConnection
-from kingcupusher._http.errors import ExchangeError, ResetError
+from kingcupusher._http.errors import ExchangeError
 from kingcupusher._http.heads import RequestHead
 from kingcupusher._http.response_memory import ResponseMemory
 from kingcupusher._limits.announcements import NO_ANNOUNCEMENT, Announcement
 
 
+class UnidentifiedResponseError(ExchangeError):
+    """Raised when a target sent complete responses, but none that names the request."""
+
+
 class AttemptOutcome(Enum):
     """Result of an attempt; the values appear in logs and metrics."""
 
@@ -96,6 +100,8 @@
         try:
             result = await self._exchange(connection, deadline_ms)
             is_complete = result.response is not None
+        except UnidentifiedResponseError as error:
+            result = AttemptResult(self, AttemptOutcome.BROKEN, reason=str(error))
         except ExchangeError as error:
             result = AttemptResult(
                 self,
@@ -142,9 +148,13 @@
             if response_id == self._request_id:
                 return response
             if not response_id:
-                raise ResetError(f"{connection.address} sent a response without an identifier")
+                raise UnidentifiedResponseError(
+                    f"{connection.address} sent a response without an identifier"
+                )
             connection.expect_another_response()
-        raise ResetError(f"{connection.address} sent only responses to other requests")
+        raise UnidentifiedResponseError(
+            f"{connection.address} sent only responses to other requests"
+        )
 
     def _encode(self, connection: ClientConnection, deadline_ms: float) -> bytes:
         remaining_ms = max(1, int(deadline_ms - now_ms()))
--- a/testing/features/deadly_requests.feature
+++ b/testing/features/deadly_requests.feature
@@ -11,6 +11,11 @@
       | lookup   |
       | transfer |
 
+  Scenario: A response that names no request is no evidence, since its target has not ended
+    Given a gateway with these targets: refusing_without_id,refusing_without_id,refusing_without_id,refusing_without_id
+    When a caller repeats one lookup 6 times
+    Then no caller was told that equal requests ended targets
+
   Scenario Outline: Only targets that ended without a success in between count, <detail>
     When equal requests have these ends, a second apart: <ends>
     Then an equal request is <decision>
--- a/testing/features/steps/deadly_requests_steps.py
+++ b/testing/features/steps/deadly_requests_steps.py
@@ -39,6 +39,13 @@
     assert last_status == status and b"retry-after" in headers, context.responses[-1]
 
 
+@then("no caller was told that equal requests ended targets")
+def then_not_quarantined(context):
+    # Guards against a refusal of healthy requests because of a target with malformed responses.
+    bodies = [body for _, _, body in context.responses]
+    assert not any(b"ended" in body for body in bodies), bodies
+
+
 @when("equal requests have these ends, a second apart: {ends}")
 def when_ends(context, ends):
     context.quarantine, context.now_ms = CrashQuarantine(), 0.0
--- a/testing/gateway/targets.py
+++ b/testing/gateway/targets.py
@@ -125,6 +125,10 @@
     def _refusal(self, headers):
         return _response(503, [*headers, ("x-not-run", "1"), *self.announced], b"")
 
+    async def _be_refusing_without_id(self, sock, request_id, body):
+        await sock.sendall(self._refusal([]))
+        return True
+
     async def _be_refusing_twice(self, sock, request_id, body):
         """Refuse the first request; send that refusal again before the response to the next."""
         return await self._refuse_first(sock, request_id, body, [("x-id", self._refused)])
