Let the state of the gateway learn from the result of an attempt

Change: one method; an attempt result says that its response was lost instead of carrying the fingerprint; a type alias without use goes.

--- a/src/kingcupusher/_gateway/attempt.py
+++ b/src/kingcupusher/_gateway/attempt.py
@@ -50,8 +50,8 @@
     outcome: AttemptOutcome
     response: BufferedResponse | None = None
     reason: str = ""
-    fingerprint: str | None = None
-    """That of the request, if the connection ended without a complete response."""
+    has_lost_response: bool = False
+    """Whether the connection ended without a complete response."""
     announcement: Announcement = NO_ANNOUNCEMENT
 
 
@@ -60,12 +60,12 @@
 
     __slots__ = (
         "_body",
-        "_fingerprint",
         "_header_codec",
         "_head",
         "_memory",
         "_request_id",
         "ended_ms",
+        "fingerprint",
         "probed",
         "sent_ms",
     )
@@ -86,7 +86,7 @@
         self._head = head
         self._body = body
         self._request_id = request_id
-        self._fingerprint = fingerprint
+        self.fingerprint = fingerprint
         self._header_codec = header_codec
         self.sent_ms = now_ms()
         self.ended_ms = 0.0
@@ -104,10 +104,7 @@
             result = AttemptResult(self, AttemptOutcome.BROKEN, reason=str(error))
         except ExchangeError as error:
             result = AttemptResult(
-                self,
-                AttemptOutcome.BROKEN,
-                reason=str(error),
-                fingerprint=self._fingerprint,
+                self, AttemptOutcome.BROKEN, reason=str(error), has_lost_response=True
             )
         finally:
             self.ended_ms = now_ms()
--- a/src/kingcupusher/_gateway/exchange.py
+++ b/src/kingcupusher/_gateway/exchange.py
@@ -232,18 +232,11 @@
         await self._gateway.wait_queue(self._service.name).notify_capacity()
         if result.outcome is AttemptOutcome.SUCCESS:
             attempt = result.attempt
-            await self._gateway.on_request_succeeded(self._fingerprint)
             self._gateway.response_time(self._route).on_response(
                 elapsed_ms=attempt.ended_ms - attempt.sent_ms,
                 cost=self._gateway.selector.cost(attempt.probed),
             )
-        if result.fingerprint is not None:
-            target_id = result.attempt.probed.target.target_id
-            await self._gateway.on_target_ended(result.fingerprint, target_id)
-        client = result.attempt.probed.client
-        self._gateway.target_clients.record_announcement(
-            client, result.announcement, request_id=self._request_id.decode("latin-1")
-        )
+        await self._gateway.learn_from(result, request_id=self._request_id)
         if result.outcome is AttemptOutcome.NOT_RUN:
             self._possibly_executed_by.discard(result.attempt.probed.target.target_id)
         elif result.outcome is AttemptOutcome.FAILURE:
--- a/src/kingcupusher/_gateway/request_log.py
+++ b/src/kingcupusher/_gateway/request_log.py
@@ -63,7 +63,7 @@
             outcome=outcome,
             status=result.response.status if result.response else 0,
             reason=result.reason,
-            fingerprint=result.fingerprint,
+            fingerprint=attempt.fingerprint if result.has_lost_response else None,
             elapsed_ms=round(elapsed_ms, 1),
             reading_age_ms=round(attempt.sent_ms - reading.read_ms, 1),
             running=reading.running,
--- a/src/kingcupusher/_gateway/state.py
+++ b/src/kingcupusher/_gateway/state.py
@@ -6,6 +6,7 @@
 
 from kingcupusher._core import now_ms as monotonic_ms
 from kingcupusher._discovery import Catalog, CrashSeen, CrashWithdrawn, Route
+from kingcupusher._gateway.attempt import AttemptOutcome, AttemptResult
 from kingcupusher._gateway.crash_reports import CrashReports, CrashStore
 from kingcupusher._gateway.drain import Drain
 from kingcupusher._gateway.header_codec import HeaderCodec
@@ -80,14 +81,26 @@
         self.metrics.count("events_total", labels(event=event))
         self.log.event(event, **fields)
 
-    async def on_target_ended(self, fingerprint: str, target_id: str) -> None:
+    async def learn_from(self, result: AttemptResult, *, request_id: bytes) -> None:
+        """Record what an attempt shows about its target and about equal requests."""
+        client = result.attempt.probed.client
+        self.target_clients.record_announcement(
+            client, result.announcement, request_id=request_id.decode("latin-1")
+        )
+        fingerprint = result.attempt.fingerprint
+        if result.outcome is AttemptOutcome.SUCCESS:
+            await self._withdraw_evidence(fingerprint)
+        elif result.has_lost_response:
+            await self._record_evidence(fingerprint, client.target.target_id)
+
+    async def _record_evidence(self, fingerprint: str, target_id: str) -> None:
         """Record that a target ended its connection during a request, and tell other entries."""
         crash = CrashSeen(fingerprint, target_id)
         if self.catalog.crashes.record(fingerprint, target_id, now_ms=monotonic_ms()):
             self.on_event("target ended under a request", fingerprint=fingerprint, target=target_id)
             await self.crash_reports.add(crash)
 
-    async def on_request_succeeded(self, fingerprint: str) -> None:
+    async def _withdraw_evidence(self, fingerprint: str) -> None:
         """Withdraw the evidence against equal requests, also at other entries."""
         targets = self.catalog.crashes.on_success(fingerprint, now_ms=monotonic_ms())
         for target_id in targets:
--- a/src/kingcupusher/_gateway/target_clients.py
+++ b/src/kingcupusher/_gateway/target_clients.py
@@ -30,7 +30,6 @@
 """Probes that a new target may get before the entry's share of the probe rate is set."""
 
 
-AnnouncedState = str
 ANNOUNCED_STATES: Registry[Callable[[TargetAnnouncements, TargetInstance, float], bool]] = Registry(
     "announced state"
 )
@@ -167,9 +166,9 @@
                 ignored=announcement.problem,
             )
 
-    def announced_count(self, service: str, kind: AnnouncedState) -> int:
-        """Return how many known targets of ``service`` are in the announced state ``kind``."""
-        is_in_state = ANNOUNCED_STATES.get(kind)
+    def announced_count(self, service: str, state: str) -> int:
+        """Return how many known targets of ``service`` are in ``state``, see ANNOUNCED_STATES."""
+        is_in_state = ANNOUNCED_STATES.get(state)
         announcements, current_ms = self._catalog.announcements, now_ms()
         return sum(
             is_in_state(announcements, target.record.instance, current_ms)
