Show that an entry keeps the store's old address after SIGHUP

Tried: new settings files whose only change is the address of the store, SIGHUP to three of five entries, then a configuration that moves the route and the evacuation of a zone.

--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -246,6 +246,8 @@
 
 def run_case(folder: Path, play: Callable[[Record, bool], Awaitable[int]]) -> None:
     """Play a case within two minutes and exit with its status."""
+    # A stopped case still ends its processes.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     record = Record(folder / "record.txt")
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.line(f"TROUBLE={int(has_trouble)}")
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -11,6 +11,10 @@
 from standins.http1 import BrokenMessageError, Message, encode, read_message
 
 
+class WatchCutError(Exception):
+    """Ends the connection of a waiting watch without an answer."""
+
+
 class Store:
     """Items with revisions, a history, leases and watches."""
 
@@ -23,12 +27,28 @@
         self._changed = asyncio.Condition()
         self._server: asyncio.Server | None = None
         self.port = 0
+        self.cut_watches_after_s: float | None = None
+        """A watch that has waited for this long without an event is cut."""
+        self.history_s: float | None = None
+        """Events that are older are discarded."""
+        self._discarded = 0
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.port = self._server.sockets[0].getsockname()[1]
         self._expiry = asyncio.create_task(self._expire_leases())
 
+    async def move(self) -> int:
+        """Listen on a new port too; return the old one, which :meth:`close_old` closes."""
+        old_port, self._old_server = self.port, self._server
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return old_port
+
+    def close_old(self) -> None:
+        """Refuse further connections on the port before the last :meth:`move`."""
+        self._old_server.close()
+
     async def put(self, key: str, value: object) -> int:
         """Write an item as the operator or a server does; return the acknowledged revision."""
         self._put(key, b64encode(json.dumps(value).encode()).decode(), 0)
@@ -44,12 +64,22 @@
         created = self.items.get(key, {}).get("created", self.revision)
         item = {"key": key, "value": value, "revision": self.revision}
         self.items[key] = item | {"created": created, "lease": lease}
-        self.events.append(self.items[key])
+        self._append(self.items[key])
+
+    def _append(self, event: dict) -> None:
+        self.events.append(event | {"at": time.monotonic()})
+
+    def _discard_history(self) -> None:
+        if self.history_s is None:
+            return
+        oldest = time.monotonic() - self.history_s
+        while self.events and self.events[0]["at"] < oldest:
+            self._discarded = self.events.pop(0)["revision"]
 
     def _remove(self, key: str) -> None:
         if self.items.pop(key, None) is not None:
             self.revision += 1
-            self.events.append({"key": key, "revision": self.revision, "tombstone": True})
+            self._append({"key": key, "revision": self.revision, "tombstone": True})
 
     async def _notify(self) -> None:
         async with self._changed:
@@ -76,7 +106,7 @@
                 body = json.dumps(content).encode()
                 writer.write(encode(f"HTTP/1.1 {status} X", headers, body))
                 await writer.drain()
-        except (OSError, BrokenMessageError):
+        except (OSError, BrokenMessageError, WatchCutError):
             pass
         finally:
             writer.close()
@@ -117,14 +147,25 @@
 
     async def _watch(self, query: dict[str, str]) -> tuple[int, object]:
         prefix, after = query.get("prefix", ""), int(query.get("after", 0))
-        end = time.monotonic() + min(int(query.get("waitMs", 0)), 30_000) / 1000.0
+        begun = time.monotonic()
+        end = begun + min(int(query.get("waitMs", 0)), 30_000) / 1000.0
         while True:
+            self._discard_history()
+            if after < self._discarded:
+                return 410, {}
             events = [
-                e for e in self.events if e["revision"] > after and e["key"].startswith(prefix)
+                {name: value for name, value in event.items() if name != "at"}
+                for event in self.events
+                if event["revision"] > after and event["key"].startswith(prefix)
             ]
             left = end - time.monotonic()
             if events or left <= 0.0:
                 return 200, {"events": events, "asOf": self.revision}
+            if self.cut_watches_after_s is not None:
+                left_uncut = begun + self.cut_watches_after_s - time.monotonic()
+                if left_uncut <= 0.0:
+                    raise WatchCutError
+                left = min(left, left_uncut)
             try:
                 async with asyncio.timeout(left):
                     async with self._changed:
