--- a/review/1/case.py
+++ b/review/1/case.py
@@ -135,7 +135,9 @@
                 continue
             lost += 1
             ran_s = run["end"] - run["start"]
-            record.line(f"{request_id}: ran on {run['server']} for {ran_s:.3f} s, then {run['how']}")
+            record.line(
+                f"{request_id}: ran on {run['server']} for {ran_s:.3f} s, then {run['how']}"
+            )
     sent = sum(len(client.sent) for client in clients)
     record.line(f"{sent} requests sent, {lost} passed on and then closed without an answer")
     return BROKEN if lost > ALLOWED_LOSSES else HELD
