--- a/review/2/case.py
+++ b/review/2/case.py
@@ -145,9 +145,7 @@
     return judge(record, connections, fleet, signalled)
 
 
-def judge(
-    record: Record, connections: list[Connection], fleet: Fleet, signalled: float
-) -> int:
+def judge(record: Record, connections: list[Connection], fleet: Fleet, signalled: float) -> int:
     """Count requests that a server got and whose connection ended without an answer."""
     runs = {run["id"]: run for run in fleet.runs()}
     lost = 0
