--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -29,9 +29,6 @@
         self.port = 0
         self.cut_watches_after_s: float | None = None
         """A watch that has waited for this long without an event is cut."""
-        self.history_s: float | None = None
-        """Events that are older are discarded."""
-        self._discarded = 0
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -64,22 +61,12 @@
         created = self.items.get(key, {}).get("created", self.revision)
         item = {"key": key, "value": value, "revision": self.revision}
         self.items[key] = item | {"created": created, "lease": lease}
-        self._append(self.items[key])
-
-    def _append(self, event: dict) -> None:
-        self.events.append(event | {"at": time.monotonic()})
-
-    def _discard_history(self) -> None:
-        if self.history_s is None:
-            return
-        oldest = time.monotonic() - self.history_s
-        while self.events and self.events[0]["at"] < oldest:
-            self._discarded = self.events.pop(0)["revision"]
+        self.events.append(self.items[key])
 
     def _remove(self, key: str) -> None:
         if self.items.pop(key, None) is not None:
             self.revision += 1
-            self._append({"key": key, "revision": self.revision, "tombstone": True})
+            self.events.append({"key": key, "revision": self.revision, "tombstone": True})
 
     async def _notify(self) -> None:
         async with self._changed:
@@ -150,13 +137,8 @@
         begun = time.monotonic()
         end = begun + min(int(query.get("waitMs", 0)), 30_000) / 1000.0
         while True:
-            self._discard_history()
-            if after < self._discarded:
-                return 410, {}
             events = [
-                {name: value for name, value in event.items() if name != "at"}
-                for event in self.events
-                if event["revision"] > after and event["key"].startswith(prefix)
+                e for e in self.events if e["revision"] > after and e["key"].startswith(prefix)
             ]
             left = end - time.monotonic()
             if events or left <= 0.0:
