--- a/src/kingcupusher/_gateway/caller_response.py
+++ b/src/kingcupusher/_gateway/caller_response.py
@@ -5,7 +5,7 @@
 from kingcupusher._gateway.error_responses import ErrorResponse
 from kingcupusher._gateway.header_codec import HeaderCodec
 from kingcupusher._http.buffered import BufferedResponse
-from kingcupusher._http.pipeline import CallerRequest
+from kingcupusher._http.caller_request import CallerRequest
 
 
 async def write_response(
--- a/src/kingcupusher/_gateway/exchange.py
+++ b/src/kingcupusher/_gateway/exchange.py
@@ -28,9 +28,9 @@
 from kingcupusher._gateway.state import GatewayState
 from kingcupusher._gateway.target_search import TargetSearch
 from kingcupusher._http.buffered import BufferedResponse
+from kingcupusher._http.caller_request import CallerRequest
 from kingcupusher._http.errors import DeadlineError
 from kingcupusher._http.heads import first_header_value, host_name
-from kingcupusher._http.pipeline import CallerRequest
 from kingcupusher._http.timer import RequestTimer
 from kingcupusher._routing.acceptance import MAX_GOOD_COST
 
@@ -86,8 +86,9 @@
         try:
             response = await self._produce_response()
         except curio.CancelledError:
-            self._log_abandoned(AttemptOutcome.UNANSWERED, "the caller closed its connection")
-            self._log_end(NO_STATUS, "the caller closed its connection")
+            reason = self._caller.close_reason.value
+            self._log_abandoned(AttemptOutcome.UNANSWERED, reason)
+            self._log_end(NO_STATUS, reason)
             raise
         finally:
             await self._in_flight.cancel_running()
--- a/src/kingcupusher/_gateway/process.py
+++ b/src/kingcupusher/_gateway/process.py
@@ -19,12 +19,15 @@
 from kingcupusher._gateway.header_codec import HeaderCodec
 from kingcupusher._gateway.settings import GatewaySettings
 from kingcupusher._gateway.state import GatewayState
-from kingcupusher._http.pipeline import CallerRequest, PipelineLimits
+from kingcupusher._http.caller_request import CallerRequest
+from kingcupusher._http.close_reason import CloseReason
+from kingcupusher._http.pipeline import PipelinedConnection
+from kingcupusher._http.pipeline_limits import PipelineLimits
 from kingcupusher._http.pipeline_listener import PipelineListener
 from kingcupusher._http.simple_client import Response
 from kingcupusher._http.simple_server import Request, serve
 from kingcupusher._observe.events import EventLog
-from kingcupusher._observe.metrics_registry import Labels
+from kingcupusher._observe.metrics_registry import Labels, labels
 from kingcupusher._observe.runtime_log import log_runtime_messages
 from kingcupusher._relay import ReaderSlot, ReaderSlotStore, RelayServer, Subscriptions
 
@@ -147,7 +150,9 @@
         settings = self._gateway.settings
         stop = SignalEvent()
         stop.set_on_signals((signal.SIGTERM, signal.SIGINT))
-        self._listener = PipelineListener(self._listen_socket, self._handle, limits=self._limits)
+        self._listener = PipelineListener(
+            self._listen_socket, self._handle, limits=self._limits, on_closed=self._record_close
+        )
         accepting = await curio.spawn(self._listener.run, daemon=True)
         for task in (
             self._follower.run,
@@ -198,6 +203,15 @@
     async def _handle(self, caller: CallerRequest) -> None:
         await Exchange(caller, self._gateway).run()
 
+    def _record_close(self, connection: PipelinedConnection) -> None:
+        """Count the end of a caller connection; log it if the entry left requests unanswered."""
+        reason = connection.close_reason or CloseReason.CALLER
+        unanswered = connection.unanswered_count
+        key = labels(reason=reason.value, unanswered="yes" if unanswered else "no")
+        self._gateway.metrics.count("connections_closed_total", key)
+        if unanswered and reason is not CloseReason.CALLER:
+            self._log.event("requests cut", reason=reason.value, unanswered=unanswered)
+
     async def _run_readiness_server(self) -> None:
         await serve(self._gateway.settings.readiness_address, self._handle_readiness)
 
--- /dev/null
+++ b/src/kingcupusher/_http/caller_request.py
@@ -0,0 +1,83 @@
+"""A request of a caller whose response is written in the order of its connection."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import curio
+import h11
+
+from kingcupusher._http.close_reason import CloseReason
+from kingcupusher._http.heads import HeaderList, trusted_headers
+from kingcupusher._http.request_parsing import END_OF_MESSAGE
+from kingcupusher._http.request_reader import ReceivedRequest
+
+
+class ResponsePipeline(Protocol):
+    """The connection that a request came from."""
+
+    close_reason: CloseReason | None
+
+    async def wait_for_turn(self, request: CallerRequest) -> None:
+        """Wait until ``request`` is the oldest one without a response."""
+
+    def is_last_before_close(self, request: CallerRequest) -> bool:
+        """Whether the response to ``request`` needs ``Connection: close``."""
+
+    async def write(self, data: bytes) -> None:
+        """Write ``data`` to the caller."""
+
+    async def on_response_written(self, request: CallerRequest) -> None:
+        """Let the next response be written."""
+
+
+class CallerRequest:
+    """A buffered request; its response is written in the order of the pipeline."""
+
+    __slots__ = ("_connection", "_http", "_is_responded", "body", "head", "received_ms", "task")
+
+    def __init__(self, connection: ResponsePipeline, received: ReceivedRequest) -> None:
+        self._connection = connection
+        self._http = received.http
+        self._is_responded = False
+        self.head = received.head
+        self.body = received.body
+        self.received_ms = received.received_ms
+        self.task: curio.Task | None = None
+
+    @property
+    def is_response_written(self) -> bool:
+        """Whether the complete response was written."""
+        return self._is_responded
+
+    @property
+    def close_reason(self) -> CloseReason:
+        """Why the connection ended; the caller closed it if the entry did not."""
+        return self._connection.close_reason or CloseReason.CALLER
+
+    @property
+    def ends_connection(self) -> bool:
+        """Whether the connection cannot be reused after the response."""
+        return self._http.our_state is not h11.DONE
+
+    async def wait_for_earlier_responses(self) -> None:
+        """Wait until the responses to all earlier requests of the connection were written."""
+        await self._connection.wait_for_turn(self)
+
+    async def respond(self, status: int, headers: HeaderList, body: bytes, reason: bytes) -> None:
+        """Write the response after those to all earlier requests."""
+        await self._connection.wait_for_turn(self)
+        data = self._encode(status, headers, body, reason)
+        await self._connection.write(data)
+        self._is_responded = True
+        await self._connection.on_response_written(self)
+
+    def _encode(self, status: int, headers: HeaderList, body: bytes, reason: bytes) -> bytes:
+        if self._connection.is_last_before_close(self) or self._http.their_state is h11.MUST_CLOSE:
+            headers = [*headers, (b"connection", b"close")]
+        head = h11.Response(status_code=status, headers=trusted_headers(headers), reason=reason)
+        data = self._http.send(head) or b""
+        if body and self.head.method != b"HEAD":
+            data += self._http.send(h11.Data(data=body)) or b""
+        data += self._http.send(END_OF_MESSAGE) or b""
+        return data
--- /dev/null
+++ b/src/kingcupusher/_http/pipeline_limits.py
@@ -0,0 +1,14 @@
+"""Limits of the connections of callers."""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+
+class PipelineLimits(Struct, kw_only=True):
+    """Size limits and time-outs of a connection; they may change while it is open."""
+
+    max_head_bytes: int = 16_384
+    max_body_bytes: int = 67_108_864
+    head_timeout_ms: float = 10_000.0
+    idle_timeout_ms: float = 60_000.0
--- a/src/kingcupusher/_http/pipeline_listener.py
+++ b/src/kingcupusher/_http/pipeline_listener.py
@@ -3,30 +3,41 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Callable
 
 import curio
 
 from kingcupusher._core import now_ms
 from kingcupusher._core.address import Address
 from kingcupusher._http.acceptor import Acceptor
-from kingcupusher._http.pipeline import PipelinedConnection, PipelineLimits, RequestHandler
+from kingcupusher._http.close_reason import CloseReason
+from kingcupusher._http.pipeline import PipelinedConnection, RequestHandler
+from kingcupusher._http.pipeline_limits import PipelineLimits
 
 DEADLINE_CHECK_INTERVAL_S = 0.1
 
+CloseObserver = Callable[[PipelinedConnection], None]
+
 
 class PipelineListener:
-    """A listening socket and its open connections."""
+    """A listening socket and its open connections; ``on_closed`` gets each that has ended."""
 
-    __slots__ = ("_acceptor", "_connections", "_handler", "_limits", "_is_draining")
+    __slots__ = ("_acceptor", "_connections", "_handler", "_is_draining", "_limits", "_on_closed")
 
     def __init__(
-        self, listening: socket.socket, handler: RequestHandler, *, limits: PipelineLimits
+        self,
+        listening: socket.socket,
+        handler: RequestHandler,
+        *,
+        limits: PipelineLimits,
+        on_closed: CloseObserver | None = None,
     ) -> None:
         self._acceptor = Acceptor(listening, self._serve)
         self._handler = handler
         self._limits = limits
         self._connections: set[PipelinedConnection] = set()
         self._is_draining = False
+        self._on_closed = on_closed
 
     @property
     def address(self) -> Address:
@@ -54,6 +65,8 @@
             await connection.run()
         finally:
             self._connections.discard(connection)
+            if self._on_closed is not None:
+                self._on_closed(connection)
             await sock.close()
 
     def start_drain(self) -> None:
@@ -69,7 +82,7 @@
     async def close_idle(self) -> None:
         """Close the connections on which no request is being read or handled."""
         for connection in [c for c in self._connections if c.is_idle]:
-            await connection.close()
+            await connection.close(CloseReason.DRAIN)
 
     async def _check_deadlines(self) -> None:
         while True:
@@ -77,4 +90,4 @@
             current_ms = now_ms()
             for connection in list(self._connections):
                 if connection.deadline_ms <= current_ms:
-                    await connection.close()
+                    await connection.close(CloseReason.DEADLINE)
--- a/src/kingcupusher/_observe/metrics_registry.py
+++ b/src/kingcupusher/_observe/metrics_registry.py
@@ -19,6 +19,7 @@
     "requests_total": "Requests by service, status and cause.",
     "sends_total": "Sends to targets by service and outcome.",
     "questions_total": "Questions to targets about their load.",
+    "connections_closed_total": "Connections of callers that ended, by reason.",
     "waits_total": "Requests that waited for a place, by service and whether they got one.",
     "events_total": "Changes of what the process believes, by event.",
     "store_calls_total": "Calls to the store.",
--- a/testing/features/steps/start_steps.py
+++ b/testing/features/steps/start_steps.py
@@ -19,7 +19,7 @@
 from kingcupusher._core import now_ms
 from kingcupusher._core.address import Address
 from kingcupusher._core.startup import listen, startup_imports
-from kingcupusher._http.pipeline import PipelineLimits
+from kingcupusher._http.pipeline_limits import PipelineLimits
 from kingcupusher._http.pipeline_listener import PipelineListener
 from standins.ports import free_address
 
--- a/testing/gateway/fixture.py
+++ b/testing/gateway/fixture.py
@@ -24,7 +24,7 @@
 from kingcupusher._gateway import FleetLimits, GatewaySettings
 from kingcupusher._gateway.exchange import Exchange
 from kingcupusher._gateway.state import GatewayState
-from kingcupusher._http.pipeline import PipelineLimits
+from kingcupusher._http.pipeline_limits import PipelineLimits
 from kingcupusher._http.pipeline_listener import PipelineListener
 from kingcupusher._observe.events import EventLog
 from testing.gateway.plain_header_codec import PlainHeaderCodec
