--- a/src/kingcupusher/_http/pipeline.py
+++ b/src/kingcupusher/_http/pipeline.py
@@ -15,8 +15,8 @@
 from kingcupusher._http.close_reason import CloseReason
 from kingcupusher._http.errors import BadRequestError, CallerDisconnectedError
 from kingcupusher._http.pipeline_limits import PipelineLimits
-from kingcupusher._http.request_parsing import END_OF_MESSAGE
-from kingcupusher._http.request_reader import RequestReader
+from kingcupusher._http.request_parsing import END_OF_MESSAGE, NO_DEADLINE_MS
+from kingcupusher._http.request_reader import ReadState, RequestReader
 from kingcupusher._http.sending import send_all
 
 MAX_PIPELINED_REQUESTS = 16
@@ -43,6 +43,7 @@
         "_pending",
         "_reader",
         "_sock",
+        "_takes_requests",
         "_turn",
         "close_reason",
         "is_disconnected",
@@ -60,6 +61,7 @@
         self._turn = curio.Condition()
         self._has_capacity = curio.Event()
         self._is_closing = False
+        self._takes_requests = True
         self._linger_end_ms: float | None = None
         self.close_reason: CloseReason | None = None
         self.is_disconnected = False
@@ -68,8 +70,23 @@
 
     @property
     def deadline_ms(self) -> float:
-        """Time at which the connection is closed if nothing happens until then."""
-        return self._reader.deadline_ms if self._linger_end_ms is None else self._linger_end_ms
+        """Time at which :meth:`on_deadline` is due.
+
+        A caller that waits for a response is not idle, so it has no deadline for the next request.
+        """
+        if self._linger_end_ms is not None:
+            return self._linger_end_ms
+        is_next_due = self._takes_requests and self._reader.state is not ReadState.WAITING
+        if self._pending and not is_next_due:
+            return NO_DEADLINE_MS
+        return self._reader.deadline_ms
+
+    async def on_deadline(self) -> None:
+        """Close the connection; if responses are due, take no further request and close then."""
+        if self._pending and self._linger_end_ms is None:
+            self._takes_requests = False
+        else:
+            await self.close(CloseReason.DEADLINE)
 
     @property
     def is_idle(self) -> bool:
@@ -97,7 +114,7 @@
             except BadRequestError as error:
                 await self._reject(error)
                 return
-            if received is None:
+            if received is None or not self._takes_requests:
                 return
             request = CallerRequest(self, received)
             self._pending.append(request)
@@ -138,6 +155,8 @@
             if self._pending and self._pending[0] is request:
                 self._pending.popleft()
             await self._turn.notify_all()
+        if not self._pending:
+            self._reader.restart_idle_time()
         await self._has_capacity.set()
 
     def _end_sending(self) -> None:
@@ -149,7 +168,8 @@
 
     def is_last_before_close(self, request: CallerRequest) -> bool:
         """Whether the response to ``request`` needs ``Connection: close``."""
-        return self.is_draining and self._pending[-1] is request
+        takes_more = self._takes_requests and not self.is_draining
+        return not takes_more and self._pending[-1] is request
 
     async def write(self, data: bytes) -> None:
         """Write ``data``; raise :class:`CallerDisconnectedError` on an error or time-out."""
--- a/src/kingcupusher/_http/pipeline_listener.py
+++ b/src/kingcupusher/_http/pipeline_listener.py
@@ -90,4 +90,4 @@
             current_ms = now_ms()
             for connection in list(self._connections):
                 if connection.deadline_ms <= current_ms:
-                    await connection.close(CloseReason.DEADLINE)
+                    await connection.on_deadline()
--- a/src/kingcupusher/_http/request_reader.py
+++ b/src/kingcupusher/_http/request_reader.py
@@ -75,6 +75,11 @@
         self.state = state
         self.deadline_ms = now_ms() + TIMEOUT_MS[state](self._limits)
 
+    def restart_idle_time(self) -> None:
+        """Count the idle time from now, unless a part of the next request was received."""
+        if self.state is ReadState.WAITING:
+            self._enter(ReadState.WAITING)
+
     async def read(self) -> ReceivedRequest | None:
         """Return the next request, or None if the caller closed before it began one.
 
@@ -101,7 +106,7 @@
         if body is None:
             return None
         self._unparsed = self.http.trailing_data[0]
-        self._enter(ReadState.HEAD if self._unparsed else ReadState.WAITING)
+        self._enter(ReadState.WAITING)
         return ReceivedRequest(self.http, head, body, received_ms)
 
     async def _read_head(self) -> RequestHead | None:
--- /dev/null
+++ b/testing/features/connections.feature
@@ -0,0 +1,40 @@
+Feature: Connections of callers end between requests
+
+  # Guards against an idle time-out that closes connections on which a response is awaited (review/1).
+  Scenario Outline: A caller that waits for its response is not idle: <kind>
+    Given a gateway that closes idle connections after 0.2 s, whose targets work for 0.6 s
+    When a caller sends on one connection <kind>
+    Then it gets the responses <statuses>
+
+    Examples:
+      | kind                                                 | statuses     |
+      | a lookup                                             | 200          |
+      | a transfer                                           | 200          |
+      | two lookups at once                                  | 200 200      |
+      | a lookup, then another one 0.3 s later               | 200 200      |
+      | sixteen lookups at once                              | sixteen 200s |
+      | a lookup before the idle time-out is shortened       | 200          |
+      | a lookup, then another one 0.1 s after its response  | 200 200      |
+
+  # Guards against a slow caller that loses the response to an earlier request together with the late one.
+  Scenario Outline: A request that comes too slowly does not cut the response to an earlier one: <part>
+    Given a gateway that closes idle connections after 0.2 s, whose targets work for 0.6 s
+    And it allows 0.2 s for a request head
+    When a caller sends a lookup and behind it <part>, and no more
+    Then it gets status 200 with "Connection: close", and the connection ends within 2 s
+    And the targets have run no other request
+
+    Examples:
+      | part                   |
+      | half a request head    |
+      | half a request body    |
+
+  Scenario Outline: An idle connection is closed, <moment>
+    Given a gateway that closes idle connections after 0.2 s, whose targets work for 0.6 s
+    When a caller <action> and then nothing
+    Then the connection ends 0.2 s to 0.6 s after <moment>
+
+    Examples:
+      | moment         | action          |
+      | the connection | connects        |
+      | the response   | sends a lookup  |
--- a/testing/features/proxy.feature
+++ b/testing/features/proxy.feature
@@ -87,4 +87,5 @@
       | a drain finishes requests in flight                                       |
       | a request sent while its idle connection is closed is rejected as not-run |
       | a slow request head is rejected                                           |
+      | a caller that waits for its response is not idle                          |
       | a truncated response resets the connection of an HTTP/1.0 caller          |
--- /dev/null
+++ b/testing/features/steps/connection_steps.py
@@ -0,0 +1,160 @@
+"""Steps for the deadlines and the end of connections of callers."""
+
+from __future__ import annotations
+
+from functools import partial
+
+import curio
+from behave import given, then, when
+
+from kingcupusher._core import now_ms
+from testing.gateway.fixture import GatewayFixture, read_responses, request_bytes, route_table
+
+TARGET_COUNT = 6
+TIMEOUT_S = 10
+STATUSES = {"sixteen 200s": [200] * 16}
+
+
+@given(
+    "a gateway that closes idle connections after {idle_s:g} s, whose targets work for {work_s:g} s"
+)
+def given_gateway(context, idle_s, work_s):
+    context.idle_ms, context.work_s, context.head_ms = idle_s * 1_000.0, work_s, 10_000.0
+
+
+@given("it allows {head_s:g} s for a request head")
+def given_head_timeout(context, head_s):
+    context.head_ms = head_s * 1_000.0
+
+
+def _run(context, action):
+    """Run ``action`` with the gateway and one connection to it; return its result."""
+
+    async def main():
+        table = route_table(timeout_ms=8_000.0)
+        async with GatewayFixture(["working"] * TARGET_COUNT, table=table) as fixture:
+            context.fixture = fixture
+            for target in fixture.targets:
+                target.work_s = context.work_s
+            fixture.limits.idle_timeout_ms = context.idle_ms
+            fixture.limits.head_timeout_ms = context.head_ms
+            sock = await fixture.connect()
+            async with curio.timeout_after(TIMEOUT_S):
+                return await action(sock)
+
+    return curio.run(main)
+
+
+def _request(number, name="lookup"):
+    return request_bytes(name, f"r{number}", timeout_ms=8_000)
+
+
+async def _wait_for_end(sock):
+    while await sock.recv(65_536):
+        continue
+    return now_ms()
+
+
+async def _send_one(sock, name="lookup"):
+    await sock.sendall(_request(0, name))
+    return await read_responses(sock, 1)
+
+
+async def _send_transfer(fixture, sock):
+    return await _send_one(sock, "transfer")
+
+
+async def _send_at_once(fixture, sock, count):
+    await sock.sendall(b"".join(_request(number) for number in range(count)))
+    return await read_responses(sock, count)
+
+
+async def _send_second_later(fixture, sock):
+    await sock.sendall(_request(0))
+    await curio.sleep(0.3)
+    await sock.sendall(_request(1))
+    return await read_responses(sock, 2)
+
+
+async def _send_again_after_response(fixture, sock):
+    responses = await _send_one(sock)
+    await curio.sleep(0.1)
+    return responses + await _send_one(sock)
+
+
+async def _send_before_shorter_timeout(fixture, sock):
+    idle_ms, fixture.limits.idle_timeout_ms = fixture.limits.idle_timeout_ms, 5_000.0
+    await sock.sendall(_request(0))
+    await curio.sleep(0.1)
+    fixture.limits.idle_timeout_ms = idle_ms
+    return await read_responses(sock, 1)
+
+
+KINDS = {
+    "a lookup": partial(_send_at_once, count=1),
+    "a transfer": _send_transfer,
+    "two lookups at once": partial(_send_at_once, count=2),
+    "sixteen lookups at once": partial(_send_at_once, count=16),
+    "a lookup, then another one 0.3 s later": _send_second_later,
+    "a lookup before the idle time-out is shortened": _send_before_shorter_timeout,
+    "a lookup, then another one 0.1 s after its response": _send_again_after_response,
+}
+
+
+@when("a caller sends on one connection {kind}")
+def when_kind(context, kind):
+    context.responses = _run(context, lambda sock: KINDS[kind](context.fixture, sock))
+
+
+@then("it gets the responses {statuses}")
+def then_statuses(context, statuses):
+    expected = STATUSES.get(statuses) or [int(status) for status in statuses.split()]
+    assert [status for status, _, _ in context.responses] == expected, context.responses
+
+
+PARTS = {
+    "half a request head": b"GET /lookup/x HTTP/1.1\r\nhost: h.exa",
+    "half a request body": _request(1, "transfer")[:-3],
+}
+
+
+@when("a caller sends a lookup and behind it {part}, and no more")
+def when_slow_second(context, part):
+    async def action(sock):
+        await sock.sendall(_request(0) + PARTS[part])
+        responses = await read_responses(sock, 1)
+        responded_ms = now_ms()
+        return responses, await _wait_for_end(sock) - responded_ms
+
+    context.responses, context.until_end_ms = _run(context, action)
+
+
+@then('it gets status {status:d} with "Connection: close", and the connection ends within {s:g} s')
+def then_closing_response(context, status, s):
+    ((got, headers, _),) = context.responses
+    assert got == status, context.responses
+    assert headers.get(b"connection") == b"close", headers
+    assert context.until_end_ms <= s * 1_000.0, context.until_end_ms
+
+
+@then("the targets have run no other request")
+def then_runs(context):
+    executed = {request for target in context.fixture.targets for request in target.executed}
+    assert executed == {"r0"}, executed
+
+
+@when("a caller {action} and then nothing")
+def when_idle(context, action):
+    async def run(sock):
+        if action == "sends a lookup":
+            await _send_one(sock)
+        since_ms = now_ms()
+        return await _wait_for_end(sock) - since_ms
+
+    context.until_end_ms = _run(context, run)
+
+
+@then("the connection ends {low_s:g} s to {high_s:g} s after {moment}")
+def then_ends(context, low_s, high_s, moment):
+    assert low_s * 1_000.0 <= context.until_end_ms + 1.0, context.until_end_ms
+    assert context.until_end_ms <= high_s * 1_000.0, context.until_end_ms
--- a/testing/features/steps/proxy_steps.py
+++ b/testing/features/steps/proxy_steps.py
@@ -440,6 +440,24 @@
     assert (reply.status, reply.outcome) == (408, b"not-run")
 
 
+@check("a caller that waits for its response is not idle")
+def check_idle_timeout_during_request():
+    # Guards against an idle time-out that closes connections on which a response is awaited.
+    async def scenario(world):
+        caller = await world.connect()
+        await caller.send(request("/late"))
+        await curio.sleep(0.6)
+        await world.targets[0].send_late_surplus()
+        reply = await caller.reply()
+        await caller.sock.close()
+        return reply
+
+    delayed = ResponsePlan(raw=b"", surplus=ResponsePlan().encode(), is_surplus_late=True)
+    limits = ServerLimits(head_timeout_ms=20, idle_timeout_ms=100)
+    reply = World([Target({b"/late": delayed})], limits=limits).run(scenario)
+    assert (reply.status, reply.body) == (200, b"ok")
+
+
 @check("a truncated response resets the connection of an HTTP/1.0 caller")
 def check_truncated_for_http10_caller():
     # Guards against an unnoticed truncation: this caller reads until the connection closes.
