Let uploads that make progress go on beyond the idle time-out

A caller with a long upload lost its connection after the longer one of the idle time-out and the time-out for heads, though it sent without a pause.

Cause: the deadline for a body was set once, at the end of the head.

Changed: each piece of a body allows another pause, and an upload below 1 KB a second beyond the first pause is cut.

Before the change connections.feature '40 KB a second for 1.2 s' failed, the two rows with an end passed; now all pass.

--- a/src/kingcupusher/_http/request_reader.py
+++ b/src/kingcupusher/_http/request_reader.py
@@ -21,6 +21,9 @@
     next_event,
 )
 
+MIN_BODY_BYTES_PER_MS = 1.0
+"""Slower uploads are cut, so that a caller cannot hold its part of a body without end."""
+
 
 class ReadState(Enum):
     """Which part of a request the caller has to send next."""
@@ -116,11 +119,13 @@
 
     async def _read_body(self) -> bytes | None:
         body = bytearray()
+        started_ms = now_ms()
         while type(event := next_event(self.http)) is not h11.EndOfMessage:
             if event is h11.NEED_DATA:
                 if self.http.they_are_waiting_for_100_continue:
                     await self._send(self.http.send(CONTINUE) or b"")
                 self.http.receive_data(await self.receive())
+                self._extend_body_deadline(started_ms, len(body))
             elif type(event) is h11.Data:
                 body += event.data
                 if len(body) > self._limits.max_body_bytes:
@@ -129,6 +134,12 @@
                 return None
         return bytes(body)
 
+    def _extend_body_deadline(self, started_ms: float, received_bytes: int) -> None:
+        """Allow another pause, unless the body has come too slowly since it began."""
+        timeout_ms = TIMEOUT_MS[ReadState.BODY](self._limits)
+        slowest_ms = started_ms + received_bytes / MIN_BODY_BYTES_PER_MS
+        self.deadline_ms = min(now_ms(), slowest_ms) + timeout_ms
+
     async def receive(self) -> bytes:
         """Return the bytes that the caller sends next, none if it closed."""
         await _read_wait(self._sock._fileno)
--- a/testing/features/connections.feature
+++ b/testing/features/connections.feature
@@ -38,3 +38,16 @@
       | moment         | action          |
       | the connection | connects        |
       | the response   | sends a lookup  |
+
+  # Guards against a time-out that cuts uploads by their length (found while looking for the cause of review/1 elsewhere).
+  Scenario Outline: A request body has to progress, not to be short: <upload>
+    Given a gateway that closes idle connections after 0.3 s, whose targets work for 0 s
+    And it allows 0.3 s for a request head
+    When a caller uploads <upload>
+    Then the connection <result>
+
+    Examples:
+      | upload                                          | result                  |
+      | 40 KB a second for 1.2 s                        | gets status 200         |
+      | 40 KB a second for 0.5 s and then nothing       | ends 0.2 s to 0.6 s later |
+      | 10 bytes a second                               | ends 0.2 s to 0.6 s later |
--- a/testing/features/steps/connection_steps.py
+++ b/testing/features/steps/connection_steps.py
@@ -12,6 +12,7 @@
 
 TARGET_COUNT = 6
 TIMEOUT_S = 10
+PIECE_INTERVAL_S = 0.1
 STATUSES = {"sixteen 200s": [200] * 16}
 
 
@@ -158,3 +159,69 @@
 def then_ends(context, low_s, high_s, moment):
     assert low_s * 1_000.0 <= context.until_end_ms + 1.0, context.until_end_ms
     assert context.until_end_ms <= high_s * 1_000.0, context.until_end_ms
+
+
+class Upload:
+    """A request whose body of ``size`` bytes is sent in pieces."""
+
+    def __init__(self, sock, size):
+        self._sock = sock
+        self._size = size
+
+    async def send_head(self):
+        """Send the head of the request."""
+        head = "POST /transfer/x HTTP/1.1\r\nhost: h.example\r\nx-id: r0\r\n"
+        await self._sock.sendall(f"{head}content-length: {self._size}\r\n\r\n".encode())
+
+    async def send_pieces(self, count, piece_bytes):
+        """Send ``count`` pieces of the body, one at each interval."""
+        for _ in range(count):
+            await self._sock.sendall(b"a" * piece_bytes)
+            await curio.sleep(PIECE_INTERVAL_S)
+
+
+async def _upload_steadily(sock):
+    upload = Upload(sock, 48_000)
+    await upload.send_head()
+    await upload.send_pieces(12, 4_000)
+    return await read_responses(sock, 1), 0.0
+
+
+async def _upload_and_stop(sock):
+    upload = Upload(sock, 48_000)
+    await upload.send_head()
+    await upload.send_pieces(5, 4_000)
+    since_ms = now_ms() - PIECE_INTERVAL_S * 1_000.0
+    return [], await _wait_for_end(sock) - since_ms
+
+
+async def _trickle(sock):
+    upload = Upload(sock, 48_000)
+    await upload.send_head()
+    since_ms = now_ms()
+    sending = await curio.spawn(upload.send_pieces, 20, 1, daemon=True)
+    until_end_ms = await _wait_for_end(sock) - since_ms
+    await sending.cancel()
+    return [], until_end_ms
+
+
+UPLOADS = {
+    "40 KB a second for 1.2 s": _upload_steadily,
+    "40 KB a second for 0.5 s and then nothing": _upload_and_stop,
+    "10 bytes a second": _trickle,
+}
+
+
+@when("a caller uploads {upload}")
+def when_upload(context, upload):
+    context.responses, context.until_end_ms = _run(context, UPLOADS[upload])
+
+
+@then("the connection gets status {status:d}")
+def then_upload_status(context, status):
+    assert [got for got, _, _ in context.responses] == [status], context.responses
+
+
+@then("the connection ends {low_s:g} s to {high_s:g} s later")
+def then_upload_ends(context, low_s, high_s):
+    then_ends(context, low_s, high_s, "the last piece")
