--- a/src/kingcupusher/_http/caller_request.py
+++ b/src/kingcupusher/_http/caller_request.py
@@ -21,8 +21,8 @@
     async def wait_for_turn(self, request: CallerRequest) -> None:
         """Wait until ``request`` is the oldest one without a response."""
 
-    def is_last_before_close(self, request: CallerRequest) -> bool:
-        """Whether the response to ``request`` needs ``Connection: close``."""
+    def is_last_response(self, request: CallerRequest) -> bool:
+        """Return whether the response to ``request`` needs ``Connection: close``."""
 
     async def write(self, data: bytes) -> None:
         """Write ``data`` to the caller."""
@@ -73,7 +73,7 @@
         await self._connection.on_response_written(self)
 
     def _encode(self, status: int, headers: HeaderList, body: bytes, reason: bytes) -> bytes:
-        if self._connection.is_last_before_close(self) or self._http.their_state is h11.MUST_CLOSE:
+        if self._connection.is_last_response(self):
             headers = [*headers, (b"connection", b"close")]
         head = h11.Response(status_code=status, headers=trusted_headers(headers), reason=reason)
         data = self._http.send(head) or b""
--- a/src/kingcupusher/_http/pipeline.py
+++ b/src/kingcupusher/_http/pipeline.py
@@ -6,6 +6,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from enum import IntEnum
 
 import curio
 import h11
@@ -25,6 +26,18 @@
 WRITE_TIMEOUT_MS = 5_000.0
 """A caller that does not read its response for this long is disconnected."""
 
+
+class Phase(IntEnum):
+    """What a connection still does; it never returns to an earlier phase."""
+
+    OPEN = 0
+    """Takes requests and writes responses."""
+    FINISHING = 1
+    """Takes no further request; writes the responses that are due."""
+    CLOSING = 2
+    """Writes nothing more; discards input until the caller closes."""
+
+
 RequestHandler = Callable[[CallerRequest], Awaitable[None]]
 
 
@@ -38,12 +51,11 @@
     __slots__ = (
         "_handler",
         "_has_capacity",
-        "_is_closing",
         "_linger_end_ms",
         "_pending",
+        "_phase",
         "_reader",
         "_sock",
-        "_takes_requests",
         "_turn",
         "close_reason",
         "is_disconnected",
@@ -60,8 +72,7 @@
         self._pending: deque[CallerRequest] = deque()
         self._turn = curio.Condition()
         self._has_capacity = curio.Event()
-        self._is_closing = False
-        self._takes_requests = True
+        self._phase = Phase.OPEN
         self._linger_end_ms: float | None = None
         self.close_reason: CloseReason | None = None
         self.is_disconnected = False
@@ -76,7 +87,7 @@
         """
         if self._linger_end_ms is not None:
             return self._linger_end_ms
-        is_next_due = self._takes_requests and self._reader.state is not ReadState.WAITING
+        is_next_due = self._phase is Phase.OPEN and self._reader.state is not ReadState.WAITING
         if self._pending and not is_next_due:
             return NO_DEADLINE_MS
         return self._reader.deadline_ms
@@ -84,7 +95,7 @@
     async def on_deadline(self) -> None:
         """Close the connection; if responses are due, take no further request and close then."""
         if self._pending and self._linger_end_ms is None:
-            self._takes_requests = False
+            self._advance(Phase.FINISHING)
         else:
             await self.close(CloseReason.DEADLINE)
 
@@ -103,28 +114,32 @@
         finally:
             await self._cancel_handlers()
 
+    def _advance(self, phase: Phase) -> None:
+        self._phase = max(self._phase, phase)
+
     def _mark_disconnected(self, reason: CloseReason) -> None:
         self.is_disconnected = True
         self.close_reason = self.close_reason or reason
 
     async def _read_requests(self) -> None:
-        while not self._is_closing:
+        while self._phase is Phase.OPEN:
             try:
                 received = await self._reader.read()
             except BadRequestError as error:
                 await self._reject(error)
                 return
-            if received is None or not self._takes_requests:
+            # The phase may have changed while the request came; its caller will send it again.
+            if received is None or self._phase is not Phase.OPEN:
                 return
             request = CallerRequest(self, received)
             self._pending.append(request)
-            request.task = await curio.spawn(self._handle, request, daemon=True)
             if received.http.their_state is h11.MUST_CLOSE:
-                return
+                self._advance(Phase.FINISHING)
+            request.task = await curio.spawn(self._handle, request, daemon=True)
             await self._wait_for_capacity()
 
     async def _wait_for_capacity(self) -> None:
-        while len(self._pending) >= MAX_PIPELINED_REQUESTS and not self._is_closing:
+        while len(self._pending) >= MAX_PIPELINED_REQUESTS and self._phase is Phase.OPEN:
             self._has_capacity.clear()
             await self._has_capacity.wait()
 
@@ -143,13 +158,12 @@
         async with self._turn:
             while self._pending and self._pending[0] is not request:
                 await self._turn.wait()
-        if self._is_closing or not self._pending:
+        if self._phase is Phase.CLOSING or not self._pending:
             raise CallerDisconnectedError("the connection was closed before this response")
 
     async def on_response_written(self, request: CallerRequest) -> None:
         """Remove ``request`` from the pipeline and let the next response be written."""
         if request.ends_connection:
-            self._is_closing = True
             self._end_sending()
         async with self._turn:
             if self._pending and self._pending[0] is request:
@@ -161,15 +175,22 @@
 
     def _end_sending(self) -> None:
         """Send the end of the connection and give the caller time to close first."""
+        self._advance(Phase.CLOSING)
         self.close_reason = self.close_reason or CloseReason.LAST_RESPONSE
         self._linger_end_ms = now_ms() + LINGER_TIMEOUT_MS
         with suppress(OSError):
             self._sock._socket.shutdown(socket.SHUT_WR)
 
-    def is_last_before_close(self, request: CallerRequest) -> bool:
-        """Whether the response to ``request`` needs ``Connection: close``."""
-        takes_more = self._takes_requests and not self.is_draining
-        return not takes_more and self._pending[-1] is request
+    def is_last_response(self, request: CallerRequest) -> bool:
+        """Return whether the response to ``request`` is the last one; if so, end the intake.
+
+        A request that comes after that decision would be run for a caller that gets no response.
+        """
+        if self._pending[-1] is not request:
+            return False
+        if self.is_draining:
+            self._advance(Phase.FINISHING)
+        return self._phase is not Phase.OPEN
 
     async def write(self, data: bytes) -> None:
         """Write ``data``; raise :class:`CallerDisconnectedError` on an error or time-out."""
@@ -186,7 +207,7 @@
         async with self._turn:
             while self._pending:
                 await self._turn.wait()
-        if self._is_closing or http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        if self._phase is Phase.CLOSING or http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         body = f"{error}\n".encode()
         headers = [(b"content-length", b"%d" % len(body)), (b"connection", b"close")]
@@ -197,7 +218,7 @@
 
     async def _finish_responses(self) -> None:
         """Wait for the last responses or for the caller to disconnect, then half-close."""
-        if self._is_closing:
+        if self._phase is Phase.CLOSING:
             await self._discard_input()
             return
         disconnect_watcher = await curio.spawn(self._watch_for_disconnect, daemon=True)
@@ -224,14 +245,14 @@
 
     async def close(self, reason: CloseReason) -> None:
         """Shut the connection down now; :meth:`run` returns."""
-        self._is_closing = True
+        self._advance(Phase.CLOSING)
         self._mark_disconnected(reason)
         await self._has_capacity.set()
         with suppress(OSError):
             self._sock._socket.shutdown(socket.SHUT_RDWR)
 
     async def _cancel_handlers(self) -> None:
-        self._is_closing = True
+        self._advance(Phase.CLOSING)
         self.close_reason = self.close_reason or CloseReason.CALLER
         self.unanswered_count = len(self._pending)
         for request in list(self._pending):
--- a/testing/features/connections.feature
+++ b/testing/features/connections.feature
@@ -51,3 +51,23 @@
       | 40 KB a second for 1.2 s                        | gets status 200         |
       | 40 KB a second for 0.5 s and then nothing       | ends 0.2 s to 0.6 s later |
       | 10 bytes a second                               | ends 0.2 s to 0.6 s later |
+
+  # Guards against work that is begun for a request whose response can no longer be sent (review/2).
+  Scenario Outline: A request that crosses the last response of a stopping entry is not passed on: <moment>
+    Given a gateway that closes idle connections after 5 s, whose targets work for 0.2 s
+    And it stops
+    When a caller sends a <first> and its next request <moment>
+    Then it gets one response, with status 200 and "Connection: close", and the end
+    And the targets have run no other request
+
+    Examples:
+      | first                   | moment                                |
+      | lookup                  | after the response                    |
+      | lookup                  | in halves before and after the response |
+      | transfer of 24 MB       | while it does not read the response   |
+
+  Scenario: A request that arrives on an idle connection while it is closed is not passed on
+    Given a gateway that closes idle connections after 5 s, whose targets work for 0.2 s
+    When a caller sends a lookup just before the entry closes its idle connections
+    Then the connection ends without a response
+    And the targets have run no request
--- a/testing/features/steps/connection_steps.py
+++ b/testing/features/steps/connection_steps.py
@@ -21,6 +21,7 @@
 )
 def given_gateway(context, idle_s, work_s):
     context.idle_ms, context.work_s, context.head_ms = idle_s * 1_000.0, work_s, 10_000.0
+    context.is_stopping = False
 
 
 @given("it allows {head_s:g} s for a request head")
@@ -40,6 +41,8 @@
             fixture.limits.idle_timeout_ms = context.idle_ms
             fixture.limits.head_timeout_ms = context.head_ms
             sock = await fixture.connect()
+            if context.is_stopping:
+                fixture.listener.start_drain()
             async with curio.timeout_after(TIMEOUT_S):
                 return await action(sock)
 
@@ -225,3 +228,87 @@
 @then("the connection ends {low_s:g} s to {high_s:g} s later")
 def then_upload_ends(context, low_s, high_s):
     then_ends(context, low_s, high_s, "the last piece")
+
+
+@given("it stops")
+def given_stop(context):
+    context.is_stopping = True
+
+
+def _echo_request(size):
+    """Return a transfer whose response repeats its body of ``size`` bytes."""
+    head = "POST /transfer/x HTTP/1.1\r\nhost: h.example\r\nx-id: r0\r\n"
+    return f"{head}content-length: {size}\r\n\r\n".encode() + b"a" * size
+
+
+async def _cross_after_response(sock):
+    await sock.sendall(_request(0))
+    responses = await read_responses(sock, 1)
+    await sock.sendall(_request(1))
+    return responses
+
+
+async def _cross_in_halves(sock):
+    data = _request(1)
+    await sock.sendall(_request(0) + data[:30])
+    responses = await read_responses(sock, 1)
+    await sock.sendall(data[30:])
+    return responses
+
+
+async def _cross_unread_response(sock):
+    await sock.sendall(_echo_request(24_000_000))
+    await curio.sleep(1.0)
+    await sock.sendall(_request(1))
+    await curio.sleep(0.5)
+    return await read_responses(sock, 1)
+
+
+CROSSINGS = {
+    "after the response": _cross_after_response,
+    "in halves before and after the response": _cross_in_halves,
+    "while it does not read the response": _cross_unread_response,
+}
+
+
+@when("a caller sends a {first} and its next request {moment}")
+def when_crossing(context, first, moment):
+    async def action(sock):
+        responses = await CROSSINGS[moment](sock)
+        await _wait_for_end(sock)
+        # The caller keeps its side open for as long as a request takes to reach a target.
+        await curio.sleep(0.4)
+        return responses
+
+    context.responses = _run(context, action)
+
+
+@then('it gets one response, with status {status:d} and "Connection: close", and the end')
+def then_last_response(context, status):
+    ((got, headers, _),) = context.responses
+    assert got == status, context.responses
+    assert headers.get(b"connection") == b"close", headers
+
+
+@when("a caller sends a lookup just before the entry closes its idle connections")
+def when_closed_while_sending(context):
+    async def action(sock):
+        await curio.sleep(0.1)
+        # No other task runs between these two lines, so the entry has not read the request yet.
+        sock._socket.send(_request(0))
+        await context.fixture.listener.close_idle()
+        received = await sock.recv(1)
+        await curio.sleep(0.2)
+        return received
+
+    context.received = _run(context, action)
+
+
+@then("the connection ends without a response")
+def then_no_response(context):
+    assert context.received == b"", context.received
+
+
+@then("the targets have run no request")
+def then_no_runs(context):
+    assert not any(target.executed for target in context.fixture.targets)
