Count the memory of all responses of an entry until they are written

Operators' report: targets that send bytes without end take the memory of an entry, and the requests of other callers end with it.

Cause: the first megabyte of each response, complete responses that wait for their caller, probe responses and copies were not counted, and bodies that grow as one array left holes in the heap. Ruled out: bytes unread in sockets (18 to 28 MB).

Changed: one budget for all responses from the first byte until they are written, from which the largest one that is being read gives way; a request without room for its response is not sent; bodies in pieces of one size; small socket buffers. A response that is given up is no evidence against its request.

--- a/src/kingcupusher/_gateway/attempt.py
+++ b/src/kingcupusher/_gateway/attempt.py
@@ -11,9 +11,9 @@
 from kingcupusher._gateway.load_probe import ProbedTarget
 from kingcupusher._http.buffered import BufferedResponse, encode_request, read_response
 from kingcupusher._http.client_connection import ClientConnection
-from kingcupusher._http.errors import ExchangeError
+from kingcupusher._http.errors import ExchangeError, ResponseTooLargeError
 from kingcupusher._http.heads import RequestHead
-from kingcupusher._http.response_memory import ResponseMemory
+from kingcupusher._http.response_budget import ResponseShare
 from kingcupusher._limits.announcements import NO_ANNOUNCEMENT, Announcement
 
 
@@ -40,6 +40,7 @@
 }
 MAX_RESPONSES_READ = 3
 """A target may send late duplicates before the response to this request."""
+NO_MEMORY = "the memory for responses is used up"
 METHODS_WITH_BODY = frozenset({b"POST", b"PUT", b"PATCH"})
 
 
@@ -62,12 +63,12 @@
         "_body",
         "_header_codec",
         "_head",
-        "_memory",
         "_request_id",
         "ended_ms",
         "fingerprint",
         "probed",
         "sent_ms",
+        "share",
     )
 
     def __init__(
@@ -79,9 +80,9 @@
         request_id: bytes,
         fingerprint: str,
         header_codec: HeaderCodec,
-        memory: ResponseMemory,
+        share: ResponseShare,
     ) -> None:
-        self._memory = memory
+        self.share = share
         self.probed = probed
         self._head = head
         self._body = body
@@ -100,7 +101,7 @@
         try:
             result = await self._exchange(connection, deadline_ms)
             is_complete = result.response is not None
-        except UnidentifiedResponseError as error:
+        except (UnidentifiedResponseError, ResponseTooLargeError) as error:
             result = AttemptResult(self, AttemptOutcome.BROKEN, reason=str(error))
         except ExchangeError as error:
             result = AttemptResult(
@@ -111,8 +112,12 @@
             if self.probed.claimed_ms is not None:
                 client.sends.finish(self.probed.claimed_ms)
             await client.pool.release(connection, reusable=is_complete)
+        if result.response is None:
+            self.share.release()
         if result.outcome is AttemptOutcome.SUCCESS:
             return result
+        if result.reason == NO_MEMORY:
+            return result
         # A saturated target may refuse or fail requests without being faulty.
         if result.outcome is AttemptOutcome.BROKEN or not self.probed.reading.is_saturated:
             client.on_failure(now_ms=self.ended_ms)
@@ -123,6 +128,8 @@
         self.probed.client.on_failure(now_ms=now_ms())
 
     async def _exchange(self, connection: ClientConnection, deadline_ms: float) -> AttemptResult:
+        if not self.share.try_begin():
+            return AttemptResult(self, AttemptOutcome.NOT_RUN, reason=NO_MEMORY)
         connection.start_next_request()
         await connection.send(self._encode(connection, deadline_ms))
         response = await self._read_own_response(connection)
@@ -140,7 +147,7 @@
         to a load probe, so it does not show what became of this request.
         """
         for _ in range(MAX_RESPONSES_READ):
-            response = await read_response(connection, memory=self._memory)
+            response = await read_response(connection, share=self.share)
             response_id = self._header_codec.response_request_id(response)
             if response_id == self._request_id:
                 return response
--- a/src/kingcupusher/_gateway/caller_response.py
+++ b/src/kingcupusher/_gateway/caller_response.py
@@ -13,8 +13,8 @@
 ) -> None:
     """Write the response of a target, with its status, headers and body."""
     headers = header_codec.response_headers(response)
-    headers.append((b"content-length", b"%d" % len(response.body)))
-    await caller.respond(response.status, headers, response.body, response.reason)
+    headers.append((b"content-length", b"%d" % response.body.size_bytes))
+    await caller.respond(response.status, headers, response.body.pieces(), response.reason)
 
 
 async def write_error_response(
@@ -27,4 +27,4 @@
     body = f"{error_response.reason}\n".encode()
     headers.append((b"content-type", b"text/plain; charset=utf-8"))
     headers.append((b"content-length", b"%d" % len(body)))
-    await caller.respond(error_response.status, headers, body, b"")
+    await caller.respond(error_response.status, headers, [body], b"")
--- a/src/kingcupusher/_gateway/exchange.py
+++ b/src/kingcupusher/_gateway/exchange.py
@@ -31,6 +31,7 @@
 from kingcupusher._http.caller_request import CallerRequest
 from kingcupusher._http.errors import DeadlineError
 from kingcupusher._http.heads import first_header_value, host_name
+from kingcupusher._http.response_budget import ResponseShare
 from kingcupusher._http.timer import RequestTimer
 from kingcupusher._routing.acceptance import MAX_GOOD_COST
 
@@ -83,6 +84,13 @@
 
     async def run(self) -> None:
         """Find targets for the request and respond to the caller."""
+        try:
+            await self._run()
+        finally:
+            for attempt in self._attempts:
+                attempt.share.release()
+
+    async def _run(self) -> None:
         try:
             response = await self._produce_response()
         except curio.CancelledError:
@@ -220,7 +228,7 @@
             request_id=self._request_id,
             fingerprint=self._fingerprint,
             header_codec=self._gateway.header_codec,
-            memory=self._gateway.response_memory,
+            share=ResponseShare(self._gateway.response_budget),
         )
         target_id = probed.target.target_id
         self._search.exclude(target_id)
--- a/src/kingcupusher/_gateway/load_probe.py
+++ b/src/kingcupusher/_gateway/load_probe.py
@@ -13,6 +13,7 @@
 from kingcupusher._http.buffered import encode_request, read_response
 from kingcupusher._http.client_connection import ClientConnection
 from kingcupusher._http.errors import HttpError, PoolLimitError, ResetError
+from kingcupusher._http.response_budget import ResponseBudget, ResponseShare
 from kingcupusher._routing.load_reading import LoadReading
 from kingcupusher._routing.reading_reuse import with_later_requests
 
@@ -48,18 +49,21 @@
 class LoadProber:
     """Probes the load of targets over pooled connections."""
 
-    __slots__ = ("_header_codec", "_clients", "probe_count")
+    __slots__ = ("_budget", "_clients", "_header_codec", "probe_count")
 
-    def __init__(self, clients: TargetClients, header_codec: HeaderCodec) -> None:
+    def __init__(
+        self, clients: TargetClients, header_codec: HeaderCodec, *, budget: ResponseBudget
+    ) -> None:
         self._clients = clients
         self._header_codec = header_codec
+        self._budget = budget
         self.probe_count = 0
 
     async def probe(
         self, targets: Collection[Target], *, health_path: bytes, deadline_ms: float
     ) -> Sequence[ProbedTarget]:
         """Return the targets that respond in time; the caller must release their connections."""
-        round_ = _ProbeRound(self._clients, self._header_codec, health_path)
+        round_ = _ProbeRound(self._clients, self._header_codec, health_path, self._budget)
         self.probe_count += len(targets)
         return await round_.run(targets, deadline_ms=min(deadline_ms, now_ms() + PROBE_TIMEOUT_MS))
 
@@ -87,12 +91,17 @@
 class _ProbeRound:
     """Concurrent probes of several targets."""
 
-    __slots__ = ("_header_codec", "_health_path", "_is_over", "_clients", "_results")
+    __slots__ = ("_budget", "_clients", "_header_codec", "_health_path", "_is_over", "_results")
 
     def __init__(
-        self, clients: TargetClients, header_codec: HeaderCodec, health_path: bytes
+        self,
+        clients: TargetClients,
+        header_codec: HeaderCodec,
+        health_path: bytes,
+        budget: ResponseBudget,
     ) -> None:
         self._clients = clients
+        self._budget = budget
         self._header_codec = header_codec
         self._health_path = health_path
         self._results: curio.Queue = curio.Queue()
@@ -165,12 +174,17 @@
         self, connection: ClientConnection, client: TargetClient
     ) -> ProbedTarget | None:
         probed: ProbedTarget | None = None
+        share = ResponseShare(self._budget)
         try:
+            if not share.try_begin():
+                return None
             headers = [(b"host", str(connection.address).encode())]
             await connection.send(
                 encode_request(connection, b"GET", self._health_path, headers, b"")
             )
-            response = await read_response(connection, max_bytes=MAX_PROBE_RESPONSE_BYTES)
+            response = await read_response(
+                connection, share=share, max_bytes=MAX_PROBE_RESPONSE_BYTES
+            )
             client.apply_keep_alive(response)
             parsed = self._header_codec.parse_probe_response(response, now_ms=now_ms())
             is_target = parsed is not None and parsed.target_id == client.target.target_id
@@ -179,6 +193,7 @@
                 self._clients.record_announcement(client, parsed.announcement, request_id=None)
                 probed = ProbedTarget(client, connection, parsed.reading)
         finally:
+            share.release()
             if probed is None:
                 await client.pool.release(connection, reusable=False)
         return probed
--- a/src/kingcupusher/_gateway/settings.py
+++ b/src/kingcupusher/_gateway/settings.py
@@ -13,7 +13,7 @@
 
     ``seeds`` are relay addresses of other entries, used to start while the store is unavailable.
     ``link_mbps`` is the bandwidth of the VM's network link. ``response_memory_bytes`` bounds what
-    large responses take in total while they are read.
+    all responses take in total, from their first byte until they are written.
     """
 
     entry: str
--- a/src/kingcupusher/_gateway/state.py
+++ b/src/kingcupusher/_gateway/state.py
@@ -15,7 +15,7 @@
 from kingcupusher._gateway.settings import GatewaySettings
 from kingcupusher._gateway.target_clients import TargetClients
 from kingcupusher._gateway.wait_queue import WaitQueue
-from kingcupusher._http.response_memory import ResponseMemory
+from kingcupusher._http.response_budget import ResponseBudget
 from kingcupusher._limits.windowed_retry import WindowedRetryBudget
 from kingcupusher._observe.events import EventLog
 from kingcupusher._observe.metrics_registry import Labels, Metrics, labels
@@ -31,7 +31,7 @@
         "_response_times",
         "crash_reports",
         "drain",
-        "response_memory",
+        "response_budget",
         "catalog",
         "header_codec",
         "target_clients",
@@ -59,7 +59,8 @@
         self.target_clients = TargetClients(
             catalog, connection_limit=settings.connection_limit, on_event=self.on_event
         )
-        self.prober = LoadProber(self.target_clients, header_codec)
+        self.response_budget = ResponseBudget(settings.response_memory_bytes)
+        self.prober = LoadProber(self.target_clients, header_codec, budget=self.response_budget)
         self.selector = TargetSelector(
             catalog,
             self.target_clients,
@@ -72,7 +73,6 @@
         self._retry_budgets: dict[str, WindowedRetryBudget] = {}
         self._wait_queues: dict[str, WaitQueue] = {}
         self._response_times: dict[str, ResponseTimeEstimate] = {}
-        self.response_memory = ResponseMemory(settings.response_memory_bytes)
         self.crash_reports = CrashReports(store, on_event=self.on_event)
         self.drain = Drain()
 
@@ -140,6 +140,7 @@
             ("entries", ()): len(catalog.live_entries.names(now_ms=now_ms)),
             ("log_lines_dropped_total", ()): self.log.dropped_lines,
             ("questions_total", ()): self.prober.probe_count,
+            ("response_memory_bytes", ()): self.response_budget.used_bytes,
             ("requests_quarantined", ()): catalog.crashes.refused_count(now_ms=now_ms),
         }
         slack = self.retry_slack(now_ms=now_ms)
--- a/src/kingcupusher/_http/buffered.py
+++ b/src/kingcupusher/_http/buffered.py
@@ -8,11 +8,12 @@
 import h11
 from msgspec import Struct
 
+from kingcupusher._http.body_pieces import BodyPieces
 from kingcupusher._http.client_connection import END_OF_MESSAGE, ClientConnection
-from kingcupusher._http.errors import ExchangeError
+from kingcupusher._http.errors import ExchangeError, ResponseTooLargeError
 from kingcupusher._http.framing import MAX_INTERIM_RESPONSES, has_conflicting_lengths
 from kingcupusher._http.heads import HeaderList, ResponseHead, first_header_value
-from kingcupusher._http.response_memory import ResponseMemory, ResponseReservation
+from kingcupusher._http.response_budget import ResponseBudget, ResponseShare
 
 MAX_RESPONSE_BYTES = 33_554_432
 YIELD_INTERVAL_EVENTS = 256
@@ -24,7 +25,7 @@
     status: int
     reason: bytes
     headers: HeaderList
-    body: bytes
+    body: BodyPieces
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of the header ``name``, or ``None``."""
@@ -44,52 +45,88 @@
 async def read_response(
     connection: ClientConnection,
     *,
-    memory: ResponseMemory | None = None,
+    share: ResponseShare | None = None,
     max_bytes: int = MAX_RESPONSE_BYTES,
 ) -> BufferedResponse:
     """Read the next response completely.
 
-    ``memory`` is shared with other responses. Raises :class:`ExchangeError` if the response is
-    invalid, or too large for ``max_bytes`` or the memory, and :class:`ResetError` if the
-    connection was closed before its end.
+    ``share`` is the response's part of a budget, which the caller releases once it has no more use
+    for the response. Raises :class:`ResponseTooLargeError` if the response exceeds ``max_bytes`` or
+    the budget, :class:`ExchangeError` if it is invalid, and :class:`ResetError` if the connection
+    was closed before its end.
     """
-    with ResponseReservation(memory or ResponseMemory(max_bytes)) as reservation:
-        reader = _ResponseReader(connection, reservation, max_bytes=max_bytes)
+    share = share or ResponseShare(ResponseBudget(2 * max_bytes))
+    reader = _ResponseReader(connection, share, max_bytes=max_bytes)
+    share.begin_reading(reader.evict)
+    try:
         return await reader.read()
+    finally:
+        share.complete()
 
 
 class _ResponseReader:
     """Collects the events of one response and bounds what a target may send."""
 
-    __slots__ = ("_body", "_connection", "_event_count", "_head", "_max_bytes", "_reservation")
+    __slots__ = (
+        "_body",
+        "_connection",
+        "_event_count",
+        "_head",
+        "_is_evicted",
+        "_max_bytes",
+        "_share",
+    )
 
     def __init__(
-        self, connection: ClientConnection, reservation: ResponseReservation, *, max_bytes: int
+        self, connection: ClientConnection, share: ResponseShare, *, max_bytes: int
     ) -> None:
         self._connection = connection
-        self._reservation = reservation
+        self._share = share
+        self._is_evicted = False
         self._max_bytes = max_bytes
         self._head: ResponseHead | None = None
-        self._body = bytearray()
+        self._body = BodyPieces()
         self._event_count = 0
 
+    def evict(self) -> None:
+        """Give up the response, because others need the memory."""
+        self._is_evicted = True
+        self._body = BodyPieces()
+        self._connection.abort()
+
     async def read(self) -> BufferedResponse:
         while True:
             event = self._connection.next_event()
             if event is h11.NEED_DATA:
-                await self._connection.receive()
+                await self._receive()
                 continue
             await self._let_others_run()
             if type(event) is h11.EndOfMessage and self._head is not None:
                 head = self._head
-                return BufferedResponse(head.status, head.reason, head.headers, bytes(self._body))
+                return BufferedResponse(head.status, head.reason, head.headers, self._body)
             self._on_event(event)
 
+    async def _receive(self) -> None:
+        try:
+            await self._connection.receive()
+        except ExchangeError:
+            self._check_not_evicted()
+            raise
+        self._check_not_evicted()
+
+    def _check_not_evicted(self) -> None:
+        if self._is_evicted:
+            raise ResponseTooLargeError(
+                f"response from {self._connection.address} was the largest when the memory for"
+                " responses was used up"
+            )
+
     async def _let_others_run(self) -> None:
         """Yield at intervals, since one read may contain thousands of events."""
         self._event_count += 1
         if self._event_count % YIELD_INTERVAL_EVENTS == 0:
             await curio.sleep(0)
+            self._check_not_evicted()
 
     def _on_event(self, event: Any) -> None:
         if type(event) is h11.Data:
@@ -101,19 +138,16 @@
             raise ExchangeError(f"{self._connection.address} sent only interim responses")
 
     def _add(self, data: bytes) -> None:
-        size_bytes = len(self._body) + len(data)
-        self._check_size(size_bytes)
-        if not self._reservation.try_grow(size_bytes):
-            raise ExchangeError(
-                f"response from {self._connection.address} exceeds the memory for responses"
-            )
-        self._body += data
-
-    def _check_size(self, size_bytes: int) -> None:
+        size_bytes = self._body.size_bytes + len(data)
         if size_bytes > self._max_bytes:
-            raise ExchangeError(
+            raise ResponseTooLargeError(
                 f"response from {self._connection.address} exceeds {self._max_bytes} bytes"
             )
+        if not self._share.try_grow(size_bytes):
+            raise ResponseTooLargeError(
+                f"response from {self._connection.address} exceeds the memory for responses"
+            )
+        self._body.append(data)
 
 
 def _check_framing(head: ResponseHead, connection: ClientConnection) -> None:
--- a/src/kingcupusher/_http/caller_request.py
+++ b/src/kingcupusher/_http/caller_request.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Protocol
 
 import curio
@@ -24,8 +25,8 @@
     def is_last_response(self, request: CallerRequest) -> bool:
         """Return whether the response to ``request`` needs ``Connection: close``."""
 
-    async def write(self, data: bytes) -> None:
-        """Write ``data`` to the caller."""
+    async def write(self, pieces: Sequence[bytes]) -> None:
+        """Write ``pieces`` to the caller, one after the other."""
 
     async def on_response_written(self, request: CallerRequest) -> None:
         """Let the next response be written."""
@@ -64,20 +65,23 @@
         """Wait until the responses to all earlier requests of the connection were written."""
         await self._connection.wait_for_turn(self)
 
-    async def respond(self, status: int, headers: HeaderList, body: bytes, reason: bytes) -> None:
-        """Write the response after those to all earlier requests."""
+    async def respond(
+        self, status: int, headers: HeaderList, body: Sequence[bytes], reason: bytes
+    ) -> None:
+        """Write the response after those to all earlier requests; ``body`` are its pieces."""
         await self._connection.wait_for_turn(self)
-        data = self._encode(status, headers, body, reason)
-        await self._connection.write(data)
+        await self._connection.write(self._encode(status, headers, body, reason))
         self._is_responded = True
         await self._connection.on_response_written(self)
 
-    def _encode(self, status: int, headers: HeaderList, body: bytes, reason: bytes) -> bytes:
+    def _encode(
+        self, status: int, headers: HeaderList, body: Sequence[bytes], reason: bytes
+    ) -> list[bytes]:
         if self._connection.is_last_response(self):
             headers = [*headers, (b"connection", b"close")]
         head = h11.Response(status_code=status, headers=trusted_headers(headers), reason=reason)
-        data = self._http.send(head) or b""
-        if body and self.head.method != b"HEAD":
-            data += self._http.send(h11.Data(data=body)) or b""
-        data += self._http.send(END_OF_MESSAGE) or b""
-        return data
+        pieces = [self._http.send(head) or b""]
+        if self.head.method != b"HEAD":
+            pieces += [self._http.send(h11.Data(data=piece)) or b"" for piece in body]
+        pieces.append(self._http.send(END_OF_MESSAGE) or b"")
+        return pieces if len(body) > 1 else [b"".join(pieces)]
--- a/src/kingcupusher/_http/client_connection.py
+++ b/src/kingcupusher/_http/client_connection.py
@@ -23,6 +23,8 @@
 from kingcupusher._http.tcp import connect
 
 READ_BYTES = 65_536
+RECEIVE_BUFFER_BYTES = 65_536
+"""Bytes that a target sends without being asked are held by the kernel, for each connection."""
 END_OF_MESSAGE = h11.EndOfMessage()
 PLACEHOLDER_HEADERS = [(b"host", b"unused")]
 
@@ -63,7 +65,7 @@
         """Connect to ``address``; raise :class:`ConnectError` on failure or time-out."""
         try:
             async with curio.timeout_after(max(0.0, (deadline_ms - now_ms()) / 1000.0)):
-                sock = await connect(address)
+                sock = await connect(address, receive_buffer_bytes=RECEIVE_BUFFER_BYTES)
         except curio.TaskTimeout:
             raise ConnectTimeoutError(f"{address} did not accept a connection in time") from None
         except OSError as error:
--- a/src/kingcupusher/_http/errors.py
+++ b/src/kingcupusher/_http/errors.py
@@ -29,6 +29,10 @@
     """Raised when the peer closed or reset the connection before a complete response."""
 
 
+class ResponseTooLargeError(ExchangeError):
+    """Raised when a response exceeds its limit or the memory for responses."""
+
+
 class DeadlineError(ExchangeError):
     """Raised when the deadline of an exchange passed."""
 
--- a/src/kingcupusher/_http/pipeline.py
+++ b/src/kingcupusher/_http/pipeline.py
@@ -4,7 +4,7 @@
 
 import socket
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from contextlib import suppress
 from enum import IntEnum
 
@@ -192,11 +192,12 @@
             self._advance(Phase.FINISHING)
         return self._phase is not Phase.OPEN
 
-    async def write(self, data: bytes) -> None:
-        """Write ``data``; raise :class:`CallerDisconnectedError` on an error or time-out."""
+    async def write(self, pieces: Sequence[bytes]) -> None:
+        """Write ``pieces``; raise :class:`CallerDisconnectedError` on an error or time-out."""
         try:
             async with curio.timeout_after(WRITE_TIMEOUT_MS / 1000.0):
-                await send_all(self._sock, data)
+                for piece in pieces:
+                    await send_all(self._sock, piece)
         except (OSError, curio.TaskTimeout) as error:
             self._mark_disconnected(CloseReason.FAILED_WRITE)
             raise CallerDisconnectedError(f"cannot write to the caller: {error}") from None
@@ -214,7 +215,7 @@
         response = h11.Response(status_code=error.status, headers=headers)
         data = (http.send(response) or b"") + (http.send(h11.Data(data=body)) or b"")
         with suppress(CallerDisconnectedError):
-            await self.write(data + (http.send(END_OF_MESSAGE) or b""))
+            await self.write([data + (http.send(END_OF_MESSAGE) or b"")])
 
     async def _finish_responses(self) -> None:
         """Wait for the last responses or for the caller to disconnect, then half-close."""
--- a/src/kingcupusher/_http/request_reader.py
+++ b/src/kingcupusher/_http/request_reader.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from enum import Enum
 
 import curio
@@ -63,7 +63,7 @@
         sock: curio.io.Socket,
         *,
         limits: PipelineLimits,
-        send: Callable[[bytes], Awaitable[None]],
+        send: Callable[[Sequence[bytes]], Awaitable[None]],
     ) -> None:
         self._sock = sock
         self._limits = limits
@@ -123,7 +123,7 @@
         while type(event := next_event(self.http)) is not h11.EndOfMessage:
             if event is h11.NEED_DATA:
                 if self.http.they_are_waiting_for_100_continue:
-                    await self._send(self.http.send(CONTINUE) or b"")
+                    await self._send([self.http.send(CONTINUE) or b""])
                 self.http.receive_data(await self.receive())
                 self._extend_body_deadline(started_ms, len(body))
             elif type(event) is h11.Data:
--- a/src/kingcupusher/_http/tcp.py
+++ b/src/kingcupusher/_http/tcp.py
@@ -12,9 +12,12 @@
 TCP_USER_TIMEOUT_MS = 2_000
 
 
-async def connect(address: Address) -> curio.io.Socket:
+async def connect(address: Address, *, receive_buffer_bytes: int | None = None) -> curio.io.Socket:
     """Open a connection; raise :class:`OSError` on failure.
 
+    ``receive_buffer_bytes`` bounds what the kernel keeps for this process to read; None leaves
+    that to the kernel.
+
     ``curio.open_connection`` is not used because it resolves even an IP address in a worker
     thread, which costs a thread switch per connection.
     """
@@ -22,6 +25,8 @@
     sock = curio.io.Socket(socket.socket(family, socket.SOCK_STREAM))
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if receive_buffer_bytes is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
         await sock.connect((address.host, address.port))
     except BaseException:
         await sock.close()
--- a/src/kingcupusher/_observe/metrics_registry.py
+++ b/src/kingcupusher/_observe/metrics_registry.py
@@ -23,6 +23,7 @@
     "waits_total": "Requests that waited for a place, by service and whether they got one.",
     "events_total": "Changes of what the process believes, by event.",
     "store_calls_total": "Calls to the store.",
+    "response_memory_bytes": "Memory reserved for responses that are read or written.",
     "routes_version": "Version of the routes in force.",
     "news_age_ms": "Time since the store's news were last confirmed.",
     "targets": "Targets by service and whether they may get work.",
