Let one long response go on in each turn of the event loop

Targets that send chunks of one byte without end kept the callers of other services waiting for seconds: 35 of 85 calls of a sound service got no success beside 300 calls of a faulty one, the others took 4.0 s in the median.

Cause: each reader yields after 256 events, and hundreds of readers do that much in each turn of the event loop, while another request takes tens of turns. Ruled out: memory (69 MB).

Changed: a response of more than 64 KiB or 32 events passes a lock that lets one on in each turn.

--- a/src/kingcupusher/_http/buffered.py
+++ b/src/kingcupusher/_http/buffered.py
@@ -4,7 +4,6 @@
 
 from typing import Any
 
-import curio
 import h11
 from msgspec import Struct
 
@@ -16,7 +15,9 @@
 from kingcupusher._http.response_budget import ResponseBudget, ResponseShare
 
 MAX_RESPONSE_BYTES = 33_554_432
-YIELD_INTERVAL_EVENTS = 256
+MAX_TURN_EVENTS = 32
+MAX_TURN_BYTES = 65_536
+"""A longer response is read on in its next turn."""
 
 
 class BufferedResponse(Struct):
@@ -75,6 +76,8 @@
         "_is_evicted",
         "_max_bytes",
         "_share",
+        "_turn_bytes",
+        "_turn_events",
     )
 
     def __init__(
@@ -87,6 +90,8 @@
         self._head: ResponseHead | None = None
         self._body = BodyPieces()
         self._event_count = 0
+        self._turn_bytes = 0
+        self._turn_events = 0
 
     def evict(self) -> None:
         """Give up the response, because others need the memory."""
@@ -122,11 +127,14 @@
             )
 
     async def _let_others_run(self) -> None:
-        """Yield at intervals, since one read may contain thousands of events."""
+        """Wait for a turn at intervals: one read may contain thousands of events."""
         self._event_count += 1
-        if self._event_count % YIELD_INTERVAL_EVENTS == 0:
-            await curio.sleep(0)
-            self._check_not_evicted()
+        self._turn_events += 1
+        if self._turn_events < MAX_TURN_EVENTS and self._turn_bytes < MAX_TURN_BYTES:
+            return
+        self._turn_events = self._turn_bytes = 0
+        await self._share.wait_for_turn()
+        self._check_not_evicted()
 
     def _on_event(self, event: Any) -> None:
         if type(event) is h11.Data:
@@ -148,6 +156,7 @@
                 f"response from {self._connection.address} exceeds the memory for responses"
             )
         self._body.append(data)
+        self._turn_bytes += len(data)
 
 
 def _check_framing(head: ResponseHead, connection: ClientConnection) -> None:
--- a/src/kingcupusher/_http/response_budget.py
+++ b/src/kingcupusher/_http/response_budget.py
@@ -1,9 +1,11 @@
-"""Memory that the responses of a process share until they are written."""
+"""Memory and processor time that the responses of a process share until they are written."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
+import curio
+
 GROWTH_STEP_BYTES = 65_536
 """A share grows in steps, at least one: the parser and the socket hold bytes, too."""
 
@@ -12,14 +14,16 @@
     """Bytes of all responses that are being read or written, at most ``limit_bytes``.
 
     If they are used up, the response that is being read and has the largest share is evicted, so
-    that responses without end leave room for those of other callers.
+    that responses without end leave room for those of other callers. For the same reason, one long
+    response is read on in each turn of the event loop.
     """
 
-    __slots__ = ("_evictable", "_limit_bytes", "used_bytes")
+    __slots__ = ("_evictable", "_limit_bytes", "_turn", "used_bytes")
 
     def __init__(self, limit_bytes: int) -> None:
         self._limit_bytes = limit_bytes
         self.used_bytes = 0
+        self._turn = curio.Lock()
         self._evictable: dict[ResponseShare, Callable[[], None]] = {}
 
     def set_evictable(self, share: ResponseShare, on_evict: Callable[[], None] | None) -> None:
@@ -47,6 +51,11 @@
         self.used_bytes += size_bytes
         return True
 
+    async def wait_for_turn(self) -> None:
+        """Wait until no other long response has gone on in this turn of the event loop."""
+        async with self._turn:
+            await curio.sleep(0)
+
     def release(self, size_bytes: int) -> None:
         """Release bytes that were reserved."""
         self.used_bytes -= size_bytes
@@ -81,6 +90,10 @@
         self.size_bytes = grown_bytes
         return True
 
+    async def wait_for_turn(self) -> None:
+        """Wait until this response may go on, after a part that others must not wait for."""
+        await self._budget.wait_for_turn()
+
     def complete(self) -> None:
         """Keep the share of a complete response until :meth:`release`."""
         self._budget.set_evictable(self, None)
--- a/testing/features/entry_memory.feature
+++ b/testing/features/entry_memory.feature
@@ -11,6 +11,7 @@
       | part                | speed  |
       | a body until the end | fast  |
       | large chunks        | fast   |
+      | tiny chunks         | fast   |
       | every part in turn  | fast   |
       | a body until the end | slowly |
       | every part in turn  | slowly |
