Bound what the path of VM lists reads and holds up for faulty targets

A health probe read up to 16 MB of a target that sends without end, and a forwarded response in chunks of one byte held up all other callers of the entry for 316 and 323 ms.

Cause: probes had the limit of control calls, and one read was forwarded as one batch, however many events it had.

Changed: probes take at most 64 KiB, control calls at most 16 interim responses; forwarding and control calls let other tasks run after each 64 events.

--- a/src/kingcupusher/_entry/prober.py
+++ b/src/kingcupusher/_entry/prober.py
@@ -13,6 +13,7 @@
 
 PROBE_CHECK_INTERVAL_S = 0.25
 PROBE_TIMEOUT_MS = 1_000.0
+MAX_PROBE_BODY_BYTES = 65_536
 PROBE_PATH = "/health"
 LOAD_HEADER = b"x-target-load"
 
@@ -42,7 +43,13 @@
         deadline_ms = min(probe.until_ms, sent_ms + PROBE_TIMEOUT_MS)
         self.sent_count += 1
         try:
-            response = await fetch(address, "GET", PROBE_PATH, deadline_ms=deadline_ms)
+            response = await fetch(
+                address,
+                "GET",
+                PROBE_PATH,
+                deadline_ms=deadline_ms,
+                max_body_bytes=MAX_PROBE_BODY_BYTES,
+            )
         except HttpError:
             return
         value = next((v for name, v in response.headers if name == LOAD_HEADER), None)
--- a/src/kingcupusher/_http/simple_client.py
+++ b/src/kingcupusher/_http/simple_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Sequence
 
 import curio
@@ -11,10 +12,13 @@
 from kingcupusher._core import now_ms
 from kingcupusher._core.address import Address
 from kingcupusher._http.errors import ConnectError, DeadlineError, ExchangeError
+from kingcupusher._http.framing import MAX_INTERIM_RESPONSES
 from kingcupusher._http.tcp import connect, enable_tcp_keepalive
 
 RECEIVE_BYTES = 65_536
 MAX_BODY_BYTES = 16_777_216
+MAX_TURN_EVENTS = 64
+"""Other tasks run after so many events of a response; one read may contain thousands."""
 
 Headers = Sequence[tuple[bytes, bytes]]
 
@@ -36,8 +40,9 @@
     headers: Headers = (),
     body: bytes = b"",
     tcp_keepalive: bool = False,
+    max_body_bytes: int = MAX_BODY_BYTES,
 ) -> Response:
-    """Send one request and return its response.
+    """Send one request and return its response, whose body has at most ``max_body_bytes``.
 
     ``deadline_ms`` is on the monotonic clock. With ``tcp_keepalive``, a request to an unreachable
     peer fails within seconds, even a long poll.
@@ -48,7 +53,9 @@
     if tcp_keepalive:
         enable_tcp_keepalive(sock)
     try:
-        return await _exchange(sock, address, method, path, deadline_ms, headers, body)
+        return await _exchange(
+            sock, address, method, path, deadline_ms, headers, body, max_body_bytes
+        )
     finally:
         await sock.close()
 
@@ -75,6 +82,7 @@
     deadline_ms: float,
     headers: Headers,
     body: bytes,
+    max_body_bytes: int,
 ) -> Response:
     connection = h11.Connection(h11.CLIENT)
     request = h11.Request(
@@ -97,29 +105,39 @@
             raise ConnectError(f"{method} {path} at {address} was not sent before the deadline")
         async with curio.timeout_after(_remaining_s(deadline_ms)):
             await sock.sendall(data)
-            return await _receive(sock, connection)
+            return await _receive(sock, connection, max_body_bytes)
     except curio.TaskTimeout:
         raise DeadlineError(f"{method} {path} at {address} timed out") from None
     except (OSError, h11.RemoteProtocolError) as error:
         raise ExchangeError(f"{method} {path} at {address} failed: {error}") from error
 
 
-async def _receive(sock: curio.io.Socket, connection: h11.Connection) -> Response:
+async def _receive(
+    sock: curio.io.Socket, connection: h11.Connection, max_body_bytes: int
+) -> Response:
     status = 0
     headers: list[tuple[bytes, bytes]] = []
     body = bytearray()
-    while True:
+    interim_count = 0
+    for event_count in itertools.count(1):
         event = connection.next_event()
+        if event_count % MAX_TURN_EVENTS == 0:
+            await curio.sleep(0)
         if event is h11.NEED_DATA:
             connection.receive_data(await sock.recv(RECEIVE_BYTES))
+        elif isinstance(event, h11.InformationalResponse):
+            interim_count += 1
+            if interim_count > MAX_INTERIM_RESPONSES:
+                raise h11.RemoteProtocolError("only interim responses were sent")
         elif isinstance(event, h11.Response):
             status = event.status_code
             headers = list(event.headers)
         elif isinstance(event, h11.Data):
             body += event.data
-            if len(body) > MAX_BODY_BYTES:
-                raise h11.RemoteProtocolError(f"body exceeds {MAX_BODY_BYTES} bytes")
+            if len(body) > max_body_bytes:
+                raise h11.RemoteProtocolError(f"body exceeds {max_body_bytes} bytes")
         elif isinstance(event, h11.EndOfMessage):
             return Response(status, headers, bytes(body))
         elif isinstance(event, h11.ConnectionClosed):
             raise h11.RemoteProtocolError("connection closed before the response was complete")
+    raise AssertionError("unreachable")
--- a/src/kingcupusher/_proxy/attempt.py
+++ b/src/kingcupusher/_proxy/attempt.py
@@ -38,6 +38,8 @@
 # After this time without a connection, another target is tried.
 CONNECT_TIMEOUT_MS = 1_000.0
 END_OF_MESSAGE = h11.EndOfMessage()
+MAX_BATCH_EVENTS = 64
+"""Other tasks run after so many events of a response; one read may contain thousands."""
 MIN_FORWARDED_INFORMATIONAL_STATUS = 102
 
 
@@ -268,6 +270,10 @@
             batch.append(event)
             if type(event) is h11.EndOfMessage:
                 break
+            if len(batch) >= MAX_BATCH_EVENTS:
+                await self._send_to_caller(batch)
+                batch = []
+                await curio.sleep(0)
         await self._send_to_caller(batch)
 
     async def _send_to_caller(self, events: list[Any]) -> None:
--- a/testing/features/endless_response.feature
+++ b/testing/features/endless_response.feature
@@ -46,6 +46,20 @@
     Given a server that sends a body without end
     Then a call to it fails within 3000 ms after at most 40 MB
 
+  Scenario Outline: A health probe of the path of VM lists reads little of <kind>
+    Given a server that sends without end: <kind>
+    When the entry sends it a health probe
+    Then the probe ends within 1500 ms after at most 1 MB
+    And other tasks of the entry waited less than 250 ms
+
+    Examples:
+      | kind                                   |
+      | a body until the end of the connection |
+      | large chunks                           |
+      | tiny chunks                            |
+      | interim responses                      |
+      | bytes without a line end               |
+
   Scenario Outline: A load probe reads little of a response without end: <kind>
     Given a gateway whose only target responds to load probes without end: <kind>
     When a caller sends a transfer to it
--- a/testing/features/proxy.feature
+++ b/testing/features/proxy.feature
@@ -87,5 +87,6 @@
       | a drain finishes requests in flight                                       |
       | a request sent while its idle connection is closed is rejected as not-run |
       | a slow request head is rejected                                           |
+      | a response in tiny chunks lets other tasks run                            |
       | a caller that waits for its response is not idle                          |
       | a truncated response resets the connection of an HTTP/1.0 caller          |
--- a/testing/features/steps/endless_response_steps.py
+++ b/testing/features/steps/endless_response_steps.py
@@ -8,8 +8,10 @@
 from behave import given, then, when
 
 from kingcupusher._core import now_ms
+from kingcupusher._entry.prober import PROBE_TIMEOUT_MS, Prober
 from kingcupusher._http.errors import ExchangeError
 from kingcupusher._http.simple_client import fetch
+from kingcupusher._membership import DueProbe
 from testing.gateway.endless_target import EndlessTarget
 from testing.gateway.fixture import GatewayFixture
 
@@ -153,3 +155,42 @@
 
     assert curio.run(main) < bound_ms
     then_sent(context, bound_mb)
+
+
+@given("a server that sends without end: {kind}")
+def given_endless_probed(context, kind):
+    context.target = EndlessTarget(kind, probes_too=True)
+
+
+class _OneProbe:
+    """Membership with one due probe, and the address of its target."""
+
+    def __init__(self, address):
+        self.target_table = self
+        self._address = address
+
+    def address_of(self, _target_id):
+        """Return the address of the target."""
+        return self._address
+
+
+@when("the entry sends it a health probe")
+def when_health_probe(context):
+    async def main():
+        await context.target.start()
+        heartbeat = await curio.spawn(_measure_lateness, context, daemon=True)
+        stand_in = _OneProbe(context.target.address)
+        probe = DueProbe("t0", until_ms=now_ms() + PROBE_TIMEOUT_MS)
+        started_ms = now_ms()
+        await Prober(stand_in, stand_in)._probe(probe)
+        context.elapsed_ms = now_ms() - started_ms
+        await heartbeat.cancel()
+
+    curio.run(main)
+
+
+@then("the probe ends within {bound_ms:d} ms after at most {bound_mb:d} MB")
+def then_probe_ends(context, bound_ms, bound_mb):
+    # Guards against an entry that keeps what faulty targets send to its health probes.
+    assert context.elapsed_ms < bound_ms, context.elapsed_ms
+    then_sent(context, bound_mb)
--- a/testing/features/steps/proxy_steps.py
+++ b/testing/features/steps/proxy_steps.py
@@ -10,6 +10,9 @@
 from testing.proxy_world import ResponsePlan, Target, World, request
 
 LONG_BODY = b"y" * 200_000
+TINY_CHUNK, LAST_CHUNK = b"1\r\na\r\n", b"0\r\n\r\n"
+TINY_CHUNK_COUNT = 40_000
+MAX_LATE_MS = 100.0
 TARGET_BEHAVIOURS = {
     "healthy": ResponsePlan(),
     "down": ResponsePlan(),
@@ -440,6 +443,37 @@
     assert (reply.status, reply.outcome) == (408, b"not-run")
 
 
+@check("a response in tiny chunks lets other tasks run")
+def check_tiny_chunks():
+    # Guards against one response that keeps all other requests of the entry waiting.
+    worst_late_ms = 0.0
+
+    async def measure_lateness():
+        nonlocal worst_late_ms
+        while True:
+            due_ms = now_ms() + 5.0
+            await curio.sleep(0.005)
+            worst_late_ms = max(worst_late_ms, now_ms() - due_ms)
+
+    async def scenario(world):
+        heartbeat = await curio.spawn(measure_lateness, daemon=True)
+        caller = await world.connect()
+        await caller.send(request("/tiny"))
+        received = b""
+        # A parser here would keep the tasks waiting itself.
+        while not received.endswith(LAST_CHUNK):
+            received += await caller.sock.recv(65_536)
+        await heartbeat.cancel()
+        await caller.sock.close()
+        return received
+
+    head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+    tiny = ResponsePlan(raw=head + TINY_CHUNK * TINY_CHUNK_COUNT + LAST_CHUNK)
+    received = World([Target({b"/tiny": tiny})]).run(scenario)
+    assert received.count(TINY_CHUNK) == TINY_CHUNK_COUNT
+    assert worst_late_ms < MAX_LATE_MS, worst_late_ms
+
+
 @check("a caller that waits for its response is not idle")
 def check_idle_timeout_during_request():
     # Guards against an idle time-out that closes connections on which a response is awaited.
