Spare responses on their way and incoming requests when a stop closes idle connections

From 3 s after SIGTERM on, a caller that read its last response slowly and had sent another request lost the rest of the response, and one that was sending a request lost its connection.

Changed: idle is a connection that takes requests, has none in the pipeline and has read no part of one, asked before each close.

--- a/src/kingcupusher/_http/pipeline.py
+++ b/src/kingcupusher/_http/pipeline.py
@@ -101,8 +101,9 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is being handled."""
-        return not self._pending
+        """Whether it may be closed: nothing is being read, handled, or still on its way."""
+        is_waiting = self._reader.state is ReadState.WAITING
+        return self._phase is Phase.OPEN and not self._pending and is_waiting
 
     async def run(self) -> None:
         """Serve the connection until it ends; cancel the handlers of a disconnected caller."""
--- a/src/kingcupusher/_http/pipeline_listener.py
+++ b/src/kingcupusher/_http/pipeline_listener.py
@@ -81,8 +81,10 @@
 
     async def close_idle(self) -> None:
         """Close the connections on which no request is being read or handled."""
-        for connection in [c for c in self._connections if c.is_idle]:
-            await connection.close(CloseReason.DRAIN)
+        for connection in list(self._connections):
+            # A request may have come while the connections before this one were closed.
+            if connection.is_idle:
+                await connection.close(CloseReason.DRAIN)
 
     async def _check_deadlines(self) -> None:
         while True:
--- a/testing/features/connections.feature
+++ b/testing/features/connections.feature
@@ -71,3 +71,16 @@
     When a caller sends a lookup just before the entry closes its idle connections
     Then the connection ends without a response
     And the targets have run no request
+
+  # Guards against a stop that cuts what a caller has not read yet, or a request that it is sending.
+  Scenario Outline: Closing the idle connections of a stopping entry spares <what>
+    Given a gateway that closes idle connections after 5 s, whose targets work for 0.2 s
+    And it stops
+    When the entry closes idle connections while a caller <action>
+    Then the caller gets a whole response with status 200
+
+    Examples:
+      | what                                   | action                                  |
+      | a response that is on its way          | reads its last response slowly and sends more |
+      | a request whose head is incomplete     | sends a request head in two parts       |
+      | a request whose body is incomplete     | sends a request body in two parts       |
--- a/testing/features/steps/connection_steps.py
+++ b/testing/features/steps/connection_steps.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import socket
 from functools import partial
 
 import curio
+import h11
 from behave import given, then, when
 
 from kingcupusher._core import now_ms
@@ -312,3 +314,48 @@
 @then("the targets have run no request")
 def then_no_runs(context):
     assert not any(target.executed for target in context.fixture.targets)
+
+
+async def _read_slowly_and_send(fixture, sock):
+    sock._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    await sock.sendall(_echo_request(400_000))
+    # The entry has written its last response by then; the kernel still holds the most of it.
+    await curio.sleep(0.5)
+    await fixture.listener.close_idle()
+    await sock.sendall(_request(1))
+    return await read_responses(sock, 1)
+
+
+async def _send_in_parts(fixture, sock, *, data, first_bytes):
+    await sock.sendall(data[:first_bytes])
+    await curio.sleep(0.1)
+    await fixture.listener.close_idle()
+    await curio.sleep(0.1)
+    await sock.sendall(data[first_bytes:])
+    return await read_responses(sock, 1)
+
+
+CLOSE_ACTIONS = {
+    "reads its last response slowly and sends more": _read_slowly_and_send,
+    "sends a request head in two parts": partial(_send_in_parts, data=_request(0), first_bytes=30),
+    "sends a request body in two parts": partial(
+        _send_in_parts, data=_request(0, "transfer"), first_bytes=-3
+    ),
+}
+
+
+@when("the entry closes idle connections while a caller {action}")
+def when_closing_idle(context, action):
+    async def run(sock):
+        try:
+            return await CLOSE_ACTIONS[action](context.fixture, sock)
+        except (OSError, AssertionError, h11.RemoteProtocolError) as error:
+            return [(0, {}, repr(error))]
+
+    context.responses = _run(context, run)
+
+
+@then("the caller gets a whole response with status {status:d}")
+def then_whole_response(context, status):
+    ((got, _, body),) = context.responses
+    assert got == status, context.responses
