Send an interim response only after the responses to earlier requests

A caller that sent a request with Expect: 100-continue behind another one found the interim response inside the body of the first response, or before it.

Cause: the task that reads requests wrote to the socket without waiting for its turn.

Changed: while earlier responses are due, the request is uninvited and has no deadline; the interim response is written when the last one was.

--- a/src/kingcupusher/_http/pipeline.py
+++ b/src/kingcupusher/_http/pipeline.py
@@ -68,8 +68,10 @@
     ) -> None:
         self._sock = sock
         self._handler = handler
-        self._reader = RequestReader(sock, limits=limits, send=self.write)
         self._pending: deque[CallerRequest] = deque()
+        self._reader = RequestReader(
+            sock, limits=limits, send=self.write, may_invite=lambda: not self._pending
+        )
         self._turn = curio.Condition()
         self._has_capacity = curio.Event()
         self._phase = Phase.OPEN
@@ -170,8 +172,9 @@
             if self._pending and self._pending[0] is request:
                 self._pending.popleft()
             await self._turn.notify_all()
-        if not self._pending:
+        if not self._pending and self._phase is Phase.OPEN:
             self._reader.restart_idle_time()
+            await self._reader.invite_body()
         await self._has_capacity.set()
 
     def _end_sending(self) -> None:
--- a/testing/features/connections.feature
+++ b/testing/features/connections.feature
@@ -84,3 +84,14 @@
       | a response that is on its way          | reads its last response slowly and sends more |
       | a request whose head is incomplete     | sends a request head in two parts       |
       | a request whose body is incomplete     | sends a request body in two parts       |
+
+  # Guards against bytes of an interim response within the response to an earlier request.
+  Scenario Outline: A request body is invited after the responses to earlier requests, <detail>
+    Given a gateway that closes idle connections after 0.3 s, whose targets work for 0.5 s
+    When a caller that <detail> sends a transfer of <size> MB and behind it one that expects an invitation
+    Then it gets the whole first response, then the invitation, and then status 200
+
+    Examples:
+      | detail                                     | size |
+      | reads the first response late              | 24   |
+      | waits for the first response               | 0    |
--- a/testing/features/steps/connection_steps.py
+++ b/testing/features/steps/connection_steps.py
@@ -15,6 +15,8 @@
 TARGET_COUNT = 6
 TIMEOUT_S = 10
 PIECE_INTERVAL_S = 0.1
+BYTES_PER_MB = 1_000_000
+INVITATION = b"HTTP/1.1 100 "
 STATUSES = {"sixteen 200s": [200] * 16}
 
 
@@ -359,3 +361,40 @@
 def then_whole_response(context, status):
     ((got, _, body),) = context.responses
     assert got == status, context.responses
+
+
+@when(
+    "a caller that {detail} sends a transfer of {size:d} MB and behind it one that expects an"
+    " invitation"
+)
+def when_expecting(context, detail, size):
+    async def action(sock):
+        await sock.sendall(_echo_request(size * BYTES_PER_MB))
+        await curio.sleep(1.0 if size else 0.0)
+        head = "POST /transfer/x HTTP/1.1\r\nhost: h.example\r\nx-id: r1\r\ncontent-length: 6\r\n"
+        await sock.sendall(f"{head}expect: 100-continue\r\n\r\n".encode())
+        await curio.sleep(0.3)
+        before_body = await _read_until_invited(sock)
+        await curio.sleep(0.2)
+        await sock.sendall(b"amount")
+        return before_body, await read_responses(sock, 1)
+
+    context.first_body = b"answer to r0" + b"a" * size * BYTES_PER_MB
+    context.exchange = _run(context, action)
+
+
+async def _read_until_invited(sock):
+    received = bytearray()
+    while received.find(INVITATION, max(0, len(received) - 2 * 65_536)) < 0:
+        received += await sock.recv(65_536)
+    return bytes(received)
+
+
+@then("it gets the whole first response, then the invitation, and then status {status:d}")
+def then_invited(context, status):
+    before_body, ((got, _, _),) = context.exchange
+    head, _, rest = before_body.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200 "), head[:100]
+    assert rest.startswith(context.first_body), (len(rest), rest[-100:])
+    assert rest.removeprefix(context.first_body).startswith(INVITATION)
+    assert got == status
