Check the deadlines of connections until the process ends

A caller that kept its connection after the last response of a stopping entry would hold up the stop to the end of its grace period, now that the stop no longer cuts such connections.

Cause: the check of deadlines ended with the task that accepts connections, 3 s after SIGTERM.

Changed: the check runs until the process ends.

Before the change the connection was open for the 3 s that 'A caller that does not close after its last response' waits (1 s allowed); now it passes.

--- a/src/kingcupusher/_http/pipeline_listener.py
+++ b/src/kingcupusher/_http/pipeline_listener.py
@@ -50,12 +50,9 @@
         return len(self._connections)
 
     async def run(self) -> None:
-        """Accept connections until cancelled; open connections continue to be served."""
-        deadline_checker = await curio.spawn(self._check_deadlines, daemon=True)
-        try:
-            await self._acceptor.run()
-        finally:
-            await deadline_checker.cancel()
+        """Accept connections until cancelled; open connections continue, with their deadlines."""
+        await curio.spawn(self._check_deadlines, daemon=True)
+        await self._acceptor.run()
 
     async def _serve(self, sock: curio.io.Socket) -> None:
         connection = PipelinedConnection(sock, limits=self._limits, handler=self._handler)
--- a/testing/features/connections.feature
+++ b/testing/features/connections.feature
@@ -95,3 +95,10 @@
       | detail                                     | size |
       | reads the first response late              | 24   |
       | waits for the first response               | 0    |
+
+  # Guards against a process that runs to the end of its grace period because of callers that do not close.
+  Scenario: A caller that does not close after its last response does not delay the stop
+    Given a gateway that closes idle connections after 5 s, whose targets work for 0.2 s
+    And it stops
+    When a caller keeps its connection after its last response, and the entry no longer accepts
+    Then no connection is left within 1 s
--- a/testing/features/steps/connection_steps.py
+++ b/testing/features/steps/connection_steps.py
@@ -398,3 +398,45 @@
     assert rest.startswith(context.first_body), (len(rest), rest[-100:])
     assert rest.removeprefix(context.first_body).startswith(INVITATION)
     assert got == status
+
+
+@when("three callers send a lookup and the entry closes its socket before it has accepted them")
+def when_backlog(context):
+    async def action(_sock):
+        listener = context.fixture.listener
+        await context.fixture.stop_accepting()
+        before = listener.connection_count
+        # Blocking calls, so that the entry cannot accept the connections in between.
+        callers = [socket.create_connection(tuple(listener.address)) for _ in range(3)]
+        for number, caller in enumerate(callers):
+            caller.sendall(_request(number))
+        await listener.close()
+        context.counted = listener.connection_count - before
+        return [await read_responses(curio.io.Socket(caller), 1) for caller in callers]
+
+    context.responses = _run(context, action)
+
+
+@then("the entry counts three open connections, and each caller gets status {status:d}")
+def then_backlog_served(context, status):
+    assert context.counted == 3, context.counted
+    assert [got for ((got, _, _),) in context.responses] == [status] * 3, context.responses
+
+
+@when("a caller keeps its connection after its last response, and the entry no longer accepts")
+def when_kept(context):
+    async def action(sock):
+        await _send_one(sock)
+        await context.fixture.stop_accepting()
+        since_ms = now_ms()
+        while context.fixture.listener.connection_count and now_ms() - since_ms < 3_000.0:
+            await context.fixture.listener.close_idle()
+            await curio.sleep(0.02)
+        return now_ms() - since_ms
+
+    context.until_end_ms = _run(context, action)
+
+
+@then("no connection is left within {bound_s:g} s")
+def then_none_left(context, bound_s):
+    assert context.until_end_ms <= bound_s * 1_000.0, context.until_end_ms
--- a/testing/gateway/fixture.py
+++ b/testing/gateway/fixture.py
@@ -147,6 +147,10 @@
     async def _handle(self, caller):
         await Exchange(caller, self.gateway).run()
 
+    async def stop_accepting(self):
+        """End the task that accepts connections; open connections stay."""
+        await self._accepting.cancel()
+
     async def connect(self):
         """Open a connection to the gateway."""
         return await curio.open_connection("127.0.0.1", self.listener.address.port)
