Wait for the connections that a stop accepts last

If no other connection was open 3 s after SIGTERM, an entry accepted the connections in the backlog and ended at once.

Cause: a connection counts as open when its task has run, and nothing let the tasks run before the stop asked for the count. Both request paths use this code. Found by reading, never seen in a run.

Changed: the tasks run once before the listening socket is closed.

--- a/src/kingcupusher/_http/acceptor.py
+++ b/src/kingcupusher/_http/acceptor.py
@@ -43,6 +43,8 @@
             while True:
                 sock, _ = self._sock._socket.accept()
                 await self._spawn_handler(curio.io.Socket(sock))
+        # The handlers have to run once before they count as open connections.
+        await curio.sleep(0)
         await self.close()
 
     async def close(self) -> None:
--- a/testing/features/connections.feature
+++ b/testing/features/connections.feature
@@ -96,6 +96,12 @@
       | reads the first response late              | 24   |
       | waits for the first response               | 0    |
 
+  # Guards against a stop that resets connections which the kernel had accepted before.
+  Scenario: Connections that wait to be accepted when a stop closes the socket are served
+    Given a gateway that closes idle connections after 5 s, whose targets work for 0.2 s
+    When three callers send a lookup and the entry closes its socket before it has accepted them
+    Then the entry counts three open connections, and each caller gets status 200
+
   # Guards against a process that runs to the end of its grace period because of callers that do not close.
   Scenario: A caller that does not close after its last response does not delay the stop
     Given a gateway that closes idle connections after 5 s, whose targets work for 0.2 s
