Render the metrics of gauges without a help text

GET /metrics closed the connection without a response at every entry on the users' platform.

Cause: help texts of five gauges were missing, and the lookup raised KeyError('requests_quarantined'), as the log of the entry showed when the page was read.

Changed: the texts, and the name of a metric in place of a missing one.

--- a/src/kingcupusher/_observe/metrics_registry.py
+++ b/src/kingcupusher/_observe/metrics_registry.py
@@ -27,6 +27,11 @@
     "routes_version": "Version of the routes in force.",
     "news_age_ms": "Time since the store's news were last confirmed.",
     "targets": "Targets by service and whether they may get work.",
+    "requests_quarantined": "Requests that are refused because equal ones ended targets.",
+    "store_restorations": "Restorations of the store from a copy, as far as the entry knows.",
+    "store_revision": "Revision of the store that the entry knows.",
+    "targets_announced": "Targets by service that leave or asked for a pause.",
+    "targets_rate_limited": "Targets by service that state a request rate.",
     "zones_out": "Zones that are taken out.",
     "repeats_left": "Repeats that the budget of a service has left.",
     "entries": "Entries that are known.",
@@ -38,6 +43,11 @@
 }
 
 
+def _help_text(name: str) -> str:
+    """Return the help text of a metric; one without a text must not cost the whole page."""
+    return HELP_TEXTS.get(name, name)
+
+
 def labels(**values: str) -> Labels:
     """Return the labels as a dictionary key, sorted by name."""
     return tuple(sorted(values.items()))
@@ -92,14 +102,14 @@
         collectors: dict[str, Any] = {}
         for (name, key), value in self._counts.items():
             collector = collectors.get(name) or Count(
-                NAME_PREFIX + name, HELP_TEXTS[name], registry=registry
+                NAME_PREFIX + name, _help_text(name), registry=registry
             )
             collectors[name] = collector
             collector.set(dict(key), value)
         for read_gauges in self._gauge_readers:
             for (name, key), current in read_gauges().items():
                 gauge = collectors.get(name) or Gauge(
-                    NAME_PREFIX + name, HELP_TEXTS[name], registry=registry
+                    NAME_PREFIX + name, _help_text(name), registry=registry
                 )
                 collectors[name] = gauge
                 gauge.set(dict(key), current)
@@ -114,7 +124,7 @@
             self._histograms = {
                 name: Histogram(
                     NAME_PREFIX + name,
-                    HELP_TEXTS[name],
+                    _help_text(name),
                     buckets=list(BUCKETS_MS),
                     registry=unused_registry,
                 )
--- a/testing/features/entry_memory.feature
+++ b/testing/features/entry_memory.feature
@@ -6,6 +6,7 @@
     When 200 callers call these targets for 5 s, and others a sound service
     Then the entry still runs, and never took more than its memory
     And all calls of the sound service succeed, nine of ten within its latency objective
+    And its metrics can be read
 
     Examples: parts of a response without end
       | part                                    | speed  | count |
