Name the caller as the reason if it has reset its connection

The reason for the end of a connection was 'the caller did not read its response' for any failed write, also after a reset.

Changed: only the time-out of a write has that reason.

--- a/src/kingcupusher/_http/close_reason.py
+++ b/src/kingcupusher/_http/close_reason.py
@@ -12,5 +12,5 @@
     DEADLINE = "the caller sent nothing in time"
     DRAIN = "the entry stops"
     FAILED_HANDLER = "a request could not be handled"
-    FAILED_WRITE = "the caller did not read its response"
+    UNREAD = "the caller did not read its response"
     LAST_RESPONSE = "the response was the last of the connection"
--- a/src/kingcupusher/_http/pipeline.py
+++ b/src/kingcupusher/_http/pipeline.py
@@ -203,7 +203,8 @@
                 for piece in pieces:
                     await send_all(self._sock, piece)
         except (OSError, curio.TaskTimeout) as error:
-            self._mark_disconnected(CloseReason.FAILED_WRITE)
+            is_late = isinstance(error, curio.TaskTimeout)
+            self._mark_disconnected(CloseReason.UNREAD if is_late else CloseReason.CALLER)
             raise CallerDisconnectedError(f"cannot write to the caller: {error}") from None
 
     async def _reject(self, error: BadRequestError) -> None:
--- a/testing/features/connections.feature
+++ b/testing/features/connections.feature
@@ -108,3 +108,15 @@
     And it stops
     When a caller keeps its connection after its last response, and the entry no longer accepts
     Then no connection is left within 1 s
+
+  # Guards against logs and metrics that blame the caller for what the entry did, or the other way round.
+  Scenario Outline: The reason for the end of a connection is known: <reason>
+    Given a gateway that closes idle connections after 0.2 s, whose targets work for 0.3 s
+    When the only caller <action>
+    Then the connection ended because "<reason>", with <unanswered> requests unanswered
+
+    Examples:
+      | action                                      | reason                           | unanswered |
+      | sends a lookup and closes                   | the caller closed its connection | 1          |
+      | sends a lookup, reads its response and waits | the caller sent nothing in time  | 0          |
+      | resets its connection during its response   | the caller closed its connection | 1          |
--- a/testing/features/steps/connection_steps.py
+++ b/testing/features/steps/connection_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 from functools import partial
 
 import curio
@@ -16,6 +17,7 @@
 TIMEOUT_S = 10
 PIECE_INTERVAL_S = 0.1
 BYTES_PER_MB = 1_000_000
+RESET_LINGER = struct.pack("ii", 1, 0)
 INVITATION = b"HTTP/1.1 100 "
 STATUSES = {"sixteen 200s": [200] * 16}
 
@@ -440,3 +442,45 @@
 @then("no connection is left within {bound_s:g} s")
 def then_none_left(context, bound_s):
     assert context.until_end_ms <= bound_s * 1_000.0, context.until_end_ms
+
+
+async def _close_during_request(sock):
+    await sock.sendall(_request(0))
+    await curio.sleep(0.1)
+    await sock.close()
+
+
+async def _wait_after_response(sock):
+    await _send_one(sock)
+    await _wait_for_end(sock)
+
+
+async def _reset_during_response(sock):
+    await sock.sendall(_echo_request(24 * BYTES_PER_MB))
+    await curio.sleep(1.0)
+    sock._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+    await sock.close()
+
+
+ENDS = {
+    "sends a lookup and closes": _close_during_request,
+    "sends a lookup, reads its response and waits": _wait_after_response,
+    "resets its connection during its response": _reset_during_response,
+}
+
+
+@when("the only caller {action}")
+def when_caller_ends(context, action):
+    async def run(sock):
+        await ENDS[action](sock)
+        await curio.sleep(0.7)
+        return context.fixture.closed
+
+    context.closed = _run(context, run)
+
+
+@then('the connection ended because "{reason}", with {unanswered:d} requests unanswered')
+def then_reason(context, reason, unanswered):
+    (connection,) = context.closed
+    assert connection.close_reason.value == reason, connection.close_reason
+    assert connection.unanswered_count == unanswered, connection.unanswered_count
--- a/testing/gateway/fixture.py
+++ b/testing/gateway/fixture.py
@@ -125,6 +125,7 @@
         self.entries = entries
         self.listener = None
         self.limits = PipelineLimits()
+        self.closed = []
 
     async def __aenter__(self):
         for target in self.targets:
@@ -133,7 +134,10 @@
         changes = [TargetSeen(registration(target)) for target in self.targets]
         self.catalog.apply([RoutesPublished(self.table), *changes], now_ms=now_ms())
         self.listener = PipelineListener(
-            listen(LOOPBACK, backlog=BACKLOG), self._handle, limits=self.limits
+            listen(LOOPBACK, backlog=BACKLOG),
+            self._handle,
+            limits=self.limits,
+            on_closed=self.closed.append,
         )
         self._accepting = await curio.spawn(self.listener.run, daemon=True)
         return self
