Invite no request body after the last response

A request with Expect: 100-continue that crossed the last response of a stopping entry ended the connection at once, and its task with an unhandled error.

Cause: the interim response was written after the entry had ended its side; the failed write raised an error that the connection did not handle.

Changed: only open connections invite, and a failed write while reading ends the connection as lost.

--- a/src/kingcupusher/_http/pipeline.py
+++ b/src/kingcupusher/_http/pipeline.py
@@ -70,7 +70,7 @@
         self._handler = handler
         self._pending: deque[CallerRequest] = deque()
         self._reader = RequestReader(
-            sock, limits=limits, send=self.write, may_invite=lambda: not self._pending
+            sock, limits=limits, send=self.write, may_invite=self._may_invite
         )
         self._turn = curio.Condition()
         self._has_capacity = curio.Event()
@@ -112,11 +112,14 @@
         try:
             await self._read_requests()
             await self._finish_responses()
-        except OSError:
+        except (CallerDisconnectedError, OSError):
             self._mark_disconnected(CloseReason.CALLER)
         finally:
             await self._cancel_handlers()
 
+    def _may_invite(self) -> bool:
+        return self._phase is Phase.OPEN and not self._pending
+
     def _advance(self, phase: Phase) -> None:
         self._phase = max(self._phase, phase)
 
--- a/testing/features/connections.feature
+++ b/testing/features/connections.feature
@@ -64,6 +64,7 @@
       | first                   | moment                                |
       | lookup                  | after the response                    |
       | lookup                  | in halves before and after the response |
+      | lookup                  | after the response, and waits for an invitation |
       | transfer of 24 MB       | while it does not read the response   |
 
   Scenario: A request that arrives on an idle connection while it is closed is not passed on
--- a/testing/features/steps/connection_steps.py
+++ b/testing/features/steps/connection_steps.py
@@ -254,6 +254,14 @@
     return responses
 
 
+async def _cross_uninvited(sock):
+    await sock.sendall(_request(0))
+    responses = await read_responses(sock, 1)
+    head = "POST /transfer/x HTTP/1.1\r\nhost: h.example\r\nx-id: r1\r\ncontent-length: 6\r\n"
+    await sock.sendall(f"{head}expect: 100-continue\r\n\r\n".encode())
+    return responses
+
+
 async def _cross_in_halves(sock):
     data = _request(1)
     await sock.sendall(_request(0) + data[:30])
@@ -272,6 +280,7 @@
 
 CROSSINGS = {
     "after the response": _cross_after_response,
+    "after the response, and waits for an invitation": _cross_uninvited,
     "in halves before and after the response": _cross_in_halves,
     "while it does not read the response": _cross_unread_response,
 }
@@ -284,6 +293,8 @@
         await _wait_for_end(sock)
         # The caller keeps its side open for as long as a request takes to reach a target.
         await curio.sleep(0.4)
+        # The connection lingers, so that the caller can read the response to its end.
+        context.ended_early = list(context.fixture.closed)
         return responses
 
     context.responses = _run(context, action)
@@ -294,6 +305,7 @@
     ((got, headers, _),) = context.responses
     assert got == status, context.responses
     assert headers.get(b"connection") == b"close", headers
+    assert not context.ended_early
 
 
 @when("a caller sends a lookup just before the entry closes its idle connections")
