--- a/testing/entry_memory/load.py
+++ b/testing/entry_memory/load.py
@@ -155,8 +155,6 @@
     async def _sample(self) -> None:
         ports = {address.port for address in self._faulty}
         while self.is_running:
-            used_bytes = resident_bytes(self._entry.pid) + unread_bytes(ports)
-            self.peak_rss = peak_resident_bytes(self._entry.pid)
             used_bytes = resident_bytes(self._entry.pid) + unread_bytes(ports)
             self.peak_bytes = max(self.peak_bytes, used_bytes)
             await curio.sleep(SAMPLE_INTERVAL_S)
