--- a/testing/__main__.py
+++ b/testing/__main__.py
@@ -18,7 +18,7 @@
 FEATURES = ROOT / "testing" / "features"
 
 
-def _run_features(arguments: list[str]) -> tuple[int, int, bool]:
+def _run_features(arguments: list[str]) -> tuple[int, list[Scenario], bool]:
     configuration = Configuration(
         ["--no-capture", "--format=progress", "--tags=not @known_red", *arguments, str(FEATURES)],
         load_config=False,
@@ -28,28 +28,29 @@
     scenarios = [s for feature in runner.features for s in feature.walk_scenarios()]
     passed = sum(s.status == Status.passed for s in scenarios)
     failed = [s for s in scenarios if s.status.has_failed()]
-    for scenario in failed:
-        _print_errors(scenario)
-    return passed, len(failed), run_failed
+    return passed, failed, run_failed
 
 
 def _print_errors(scenario: Scenario) -> None:
     """Print why the steps failed, which the progress format leaves out."""
+    print(f"{scenario.location} failed: {scenario.name}")
     for step in scenario.steps:
         if step.error_message:
-            print(f"{scenario.location} {step.name}:\n{step.error_message}")
+            print(f"{step.name}:\n{step.error_message}")
 
 
 def main() -> int:
     """Run the features; return 0 only if at least one scenario ran and all that ran passed."""
     passed, failed, run_failed = _run_features(sys.argv[1:])
-    if run_failed and not failed:
-        failed = 1
     if KNOWN_RED.exists():
         print("KNOWN-RED.txt:")
         print(KNOWN_RED.read_text(encoding="utf-8"), end="")
-    print(f"{passed} passed, {failed} failed")
-    return 0 if passed and not failed else 1
+    # These lines come last, because the users' CI keeps the end of the output but not the middle.
+    for scenario in failed:
+        _print_errors(scenario)
+    failed_count = max(len(failed), int(run_failed))
+    print(f"{passed} passed, {failed_count} failed")
+    return 0 if passed and not failed_count else 1
 
 
 if __name__ == "__main__":
