End all connections of a server that is cancelled

Cause: curio.tcp_server accepts in one task of a group and runs each connection in another. The cancellation of the group takes the tasks that exist when it begins, the accept loop accepts once more before its own cancellation arrives, and the group waits for that connection. Ruled out: a cancellation lost in the project's code; the same happens with curio alone.

serve_connections accepts in the task that is cancelled, so nothing is accepted once the others end.

--- a/src/kingcupusher/_http/acceptor.py
+++ b/src/kingcupusher/_http/acceptor.py
@@ -3,16 +3,12 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Awaitable, Callable
 from contextlib import suppress
 
 import curio
 
 from kingcupusher._core.address import Address
-
-ACCEPT_RETRY_DELAY_S = 0.05
-
-SocketHandler = Callable[[curio.io.Socket], Awaitable[None]]
+from kingcupusher._core.connection_server import ConnectionHandler, accept_connection
 
 
 class Acceptor:
@@ -20,7 +16,7 @@
 
     __slots__ = ("_handler", "_sock", "address")
 
-    def __init__(self, listening: socket.socket, handler: SocketHandler) -> None:
+    def __init__(self, listening: socket.socket, handler: ConnectionHandler) -> None:
         self._sock = curio.io.Socket(listening)
         self._handler = handler
         host, port = listening.getsockname()[:2]
@@ -29,13 +25,7 @@
     async def run(self) -> None:
         """Accept until cancelled."""
         while True:
-            try:
-                sock, _ = await self._sock.accept()
-            except OSError:
-                # The caller aborted its connection, or no file descriptor is free; retry.
-                await curio.sleep(ACCEPT_RETRY_DELAY_S)
-                continue
-            await self._spawn_handler(sock)
+            await self._spawn_handler(await accept_connection(self._sock))
 
     async def accept_backlog_and_close(self) -> None:
         """Accept the connections in the kernel's backlog, which closing would reset, and close."""
--- a/src/kingcupusher/_http/simple_server.py
+++ b/src/kingcupusher/_http/simple_server.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from typing import Any
 
 import curio
 import h11
 from msgspec import Struct
 
 from kingcupusher._core.address import Address
+from kingcupusher._core.connection_server import serve_connections
+from kingcupusher._core.startup import listen
 from kingcupusher._http.simple_client import RECEIVE_BYTES, Response
 
 MAX_BODY_BYTES = 2_000_000
@@ -36,12 +37,10 @@
 async def serve(address: Address, handler: Handler) -> None:
     """Serve ``handler`` on ``address`` until cancelled."""
 
-    async def on_client(client: curio.io.Socket, _peer: Any) -> None:
+    async def on_client(client: curio.io.Socket) -> None:
         await _serve_connection(client, handler)
 
-    await curio.tcp_server(
-        address.host, address.port, on_client, backlog=BACKLOG, reuse_address=True
-    )
+    await serve_connections(listen(address, backlog=BACKLOG), on_client)
 
 
 async def _serve_connection(client: curio.io.Socket, handler: Handler) -> None:
--- a/src/kingcupusher/_peers/transport.py
+++ b/src/kingcupusher/_peers/transport.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from typing import Any
 
 import curio
 
 from kingcupusher._core.address import Address
+from kingcupusher._core.connection_server import serve_connections
+from kingcupusher._core.startup import listen
 from kingcupusher._peers.codec import encode
 from kingcupusher._peers.connection import ByteCounters, Connection, PeerIdentity, accept, dial
 from kingcupusher._peers.errors import HandshakeError, LinkClosedError
@@ -33,9 +34,7 @@
         self.inbound = curio.Queue(maxsize=MAX_INBOUND_EVENTS)
         self.counters = ByteCounters()
         self._own = PeerIdentity(seat, boot_id)
-        self._sock = curio.network.tcp_server_socket(
-            address.host, address.port, backlog=BACKLOG, reuse_address=True
-        )
+        self._sock = listen(address, backlog=BACKLOG)
         self._links: dict[int, Link] = {}
         self._addresses: dict[int, Address] = {}
         self._dialers: dict[int, curio.Task] = {}
@@ -73,7 +72,7 @@
     async def run(self) -> None:
         """Accept links until cancelled, then close all links."""
         try:
-            await curio.network.run_server(self._sock, self._accept_link)
+            await serve_connections(self._sock, self._accept_link)
         finally:
             for dialer in self._dialers.values():
                 await dialer.cancel()
@@ -82,7 +81,7 @@
         link = self._links.get(seat)
         return link is not None and await link.send(data)
 
-    async def _accept_link(self, sock: curio.io.Socket, _address: Any) -> None:
+    async def _accept_link(self, sock: curio.io.Socket) -> None:
         try:
             async with curio.timeout_after(HANDSHAKE_TIMEOUT_S):
                 connection = await accept(sock, own=self._own, counters=self.counters)
--- a/src/kingcupusher/_relay/server.py
+++ b/src/kingcupusher/_relay/server.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 import curio
 
 from kingcupusher._core import now_ms
 from kingcupusher._core.address import Address
+from kingcupusher._core.connection_server import serve_connections
+from kingcupusher._core.startup import listen
 from kingcupusher._discovery import NO_POSITION, Catalog, StoreFollower, StorePosition
 from kingcupusher._peers.connection import ByteCounters, Connection, PeerIdentity, accept
 from kingcupusher._peers.errors import HandshakeError, LinkClosedError, MessageError
@@ -76,15 +76,9 @@
 
     async def run(self) -> None:
         """Serve subscribers until cancelled."""
-        await curio.tcp_server(
-            self._address.host,
-            self._address.port,
-            self._on_client,
-            backlog=BACKLOG,
-            reuse_address=True,
-        )
-
-    async def _on_client(self, sock: curio.io.Socket, _peer: Any) -> None:
+        await serve_connections(listen(self._address, backlog=BACKLOG), self._on_client)
+
+    async def _on_client(self, sock: curio.io.Socket) -> None:
         try:
             async with curio.timeout_after(HANDSHAKE_TIMEOUT_S):
                 own = PeerIdentity(0, 0)
--- a/testing/features/steps/load_tool_steps.py
+++ b/testing/features/steps/load_tool_steps.py
@@ -12,16 +12,18 @@
 
 from kingcupusher._core import Registry, now_ms
 from kingcupusher._core.address import Address
+from kingcupusher._core.connection_server import serve_connections
+from kingcupusher._core.startup import listen
 from standins import content, timers
 from standins.load.outcome import CompleteResponse, Outcome, classify
 from standins.load.plan import PlannedRequest
 from standins.load.runner import RequestRecord, Runner, RunSettings
 from standins.load.summary import compare_executions
-from standins.ports import LOOPBACK
 from standins.processes import AddressPool
 from standins.target.activity_log import Execution, Progress
 
 TIMEOUT_MS = 200.0
+BACKLOG = 16
 HEAD = b"HTTP/1.1 200 OK\r\n"
 
 RESPONSE_FAULTS: Registry = Registry("response fault")
@@ -159,11 +161,11 @@
 
 
 async def _serve(address, behaviour):
-    async def on_client(client, _peer):
+    async def on_client(client):
         await client.recv(65_536)
         await behaviour(client)
 
-    await curio.tcp_server(LOOPBACK, address.port, on_client)
+    await serve_connections(listen(address, backlog=BACKLOG), on_client)
 
 
 async def _send(address, behaviour, plan):
--- a/testing/gateway/loopback_target.py
+++ b/testing/gateway/loopback_target.py
@@ -5,6 +5,11 @@
 import curio
 
 from kingcupusher._core.address import Address
+from kingcupusher._core.connection_server import serve_connections
+from kingcupusher._core.startup import listen
+
+LOOPBACK = Address("127.0.0.1", 0)
+BACKLOG = 100
 
 
 class LoopbackTarget:
@@ -14,21 +19,21 @@
         self.target_id = target_id
         self.open_count = 0
         self.max_open_connections = 0
-        self._sock = curio.tcp_server_socket("127.0.0.1", 0)
+        self._sock = listen(LOOPBACK, backlog=BACKLOG)
         self.address = Address("127.0.0.1", self._sock.getsockname()[1])
         self._task = None
 
     async def start(self):
         """Accept connections."""
         self._task = await curio.spawn(
-            curio.network.run_server, self._sock, self._on_connection, daemon=True
+            serve_connections, self._sock, self._on_connection, daemon=True
         )
 
     async def stop(self):
         """Stop accepting."""
         await self._task.cancel()
 
-    async def _on_connection(self, sock, _address):
+    async def _on_connection(self, sock):
         self.open_count += 1
         self.max_open_connections = max(self.max_open_connections, self.open_count)
         try:
