Close the socket of a stop before the last accepted connections are handled

A connection that came while the tasks of the last accepted ones ran for the first time was accepted by the kernel and reset by the close, with its request unanswered. The socket was kept open for that one turn of the event loop, so that these tasks count as open connections.

The socket is now closed first, and the tasks run after that. Such a caller is refused at once, and knows that its request was not read.

--- a/src/kingcupusher/_http/acceptor.py
+++ b/src/kingcupusher/_http/acceptor.py
@@ -33,9 +33,10 @@
             while True:
                 sock, _ = self._sock._socket.accept()
                 await self._spawn_handler(curio.io.Socket(sock))
+        # Closed before any other task runs, because what the kernel accepts meanwhile is reset.
+        await self.close()
         # The handlers have to run once before they count as open connections.
         await curio.sleep(0)
-        await self.close()
 
     async def close(self) -> None:
         """Close the listening socket."""
--- a/testing/features/connections.feature
+++ b/testing/features/connections.feature
@@ -103,6 +103,12 @@
     When three callers send a lookup and the entry closes its socket before it has accepted them
     Then the entry counts three open connections, and each caller gets status 200
 
+  # Guards against connections that come while the last accepted ones are prepared: the kernel accepts and then resets them.
+  Scenario: No connection is reset between the last accept of a stop and the close of the socket
+    Given a gateway that closes idle connections after 5 s, whose targets work for 0.2 s
+    When a caller connects while the handlers of the last accepted connections run for the first time
+    Then its connection is refused, or it gets status 200
+
   # Guards against a process that runs to the end of its grace period because of callers that do not close.
   Scenario: A caller that does not close after its last response does not delay the stop
     Given a gateway that closes idle connections after 5 s, whose targets work for 0.2 s
--- a/testing/features/steps/connection_steps.py
+++ b/testing/features/steps/connection_steps.py
@@ -4,6 +4,7 @@
 
 import socket
 import struct
+from contextlib import suppress
 from functools import partial
 
 import curio
@@ -437,6 +438,36 @@
     assert [got for ((got, _, _),) in context.responses] == [status] * 3, context.responses
 
 
+@when(
+    "a caller connects while the handlers of the last accepted connections run for the first time"
+)
+def when_backlog_grows(context):
+    async def action(_sock):
+        listener = context.fixture.listener
+        await context.fixture.stop_accepting()
+        callers = []
+
+        async def connect():
+            with suppress(ConnectionRefusedError):
+                callers.append(socket.create_connection(tuple(listener.address)))
+                callers[0].sendall(_request(0))
+
+        await curio.spawn(connect, daemon=True)
+        await listener.close()
+        await curio.sleep(0)
+        with suppress(ConnectionResetError, AssertionError):
+            return [await read_responses(curio.io.Socket(caller), 1) for caller in callers]
+        return "the connection was reset"
+
+    context.responses = _run(context, action)
+
+
+@then("its connection is refused, or it gets status {status:d}")
+def then_refused_or_served(context, status):
+    assert context.responses != "the connection was reset"
+    assert all(got == status for ((got, _, _),) in context.responses), context.responses
+
+
 @when("a caller keeps its connection after its last response, and the entry no longer accepts")
 def when_kept(context):
     async def action(sock):
