--- a/src/kingcupusher/_gateway/exchange.py
+++ b/src/kingcupusher/_gateway/exchange.py
@@ -13,8 +13,6 @@
 from kingcupusher._gateway.concurrent_attempts import ConcurrentAttempts
 from kingcupusher._gateway.error_responses import (
     INCOMPLETE_RESPONSE,
-    NO_ROUTE,
-    NO_ROUTES_YET,
     NO_TARGET,
     SHUTTING_DOWN,
     TIMED_OUT,
@@ -24,21 +22,18 @@
 from kingcupusher._gateway.load_probe import ProbedTarget
 from kingcupusher._gateway.request_fingerprint import request_fingerprint
 from kingcupusher._gateway.request_log import RequestLog
+from kingcupusher._gateway.route_match import match_route
 from kingcupusher._gateway.send_rules import SendRules
 from kingcupusher._gateway.state import GatewayState
 from kingcupusher._gateway.target_search import TargetSearch
 from kingcupusher._http.buffered import BufferedResponse
 from kingcupusher._http.caller_request import CallerRequest
 from kingcupusher._http.errors import DeadlineError
-from kingcupusher._http.heads import first_header_value, host_name
 from kingcupusher._http.response_budget import ResponseShare
 from kingcupusher._http.timer import RequestTimer
 from kingcupusher._routing.acceptance import MAX_GOOD_COST
 
 MAX_ATTEMPTS = 4
-MAX_ROUTES_WAIT_MS = 300.0
-"""Time for which requests to a process that has just started wait for the routes."""
-ROUTES_POLL_S = 0.01
 NO_STATUS = 0
 
 
@@ -103,10 +98,10 @@
         await self._respond(response)
 
     async def _produce_response(self) -> BufferedResponse | ErrorResponse:
-        error_response = await self._find_route()
-        if error_response is not None:
-            return error_response
-        assert self._route is not None
+        match = await match_route(self._caller, self._gateway.catalog, self._gateway.header_codec)
+        if isinstance(match, ErrorResponse):
+            return match
+        self._route, self._deadline_ms = match.route, match.deadline_ms
         if not self._route.is_idempotent:
             await self._caller.wait_for_earlier_responses()
         task = await curio.current_task()
@@ -126,24 +121,6 @@
                 return self._fallback_response
             return TIMED_OUT if self._may_have_executed else TIMED_OUT_BEFORE_SEND
 
-    async def _find_route(self) -> ErrorResponse | None:
-        catalog = self._gateway.catalog
-        until_ms = self._caller.received_ms + MAX_ROUTES_WAIT_MS
-        while not catalog.has_routes:
-            if now_ms() >= until_ms:
-                return NO_ROUTES_YET
-            await curio.sleep(ROUTES_POLL_S)
-        head = self._caller.head
-        host = host_name(first_header_value(head.headers, b"host") or b"")
-        route = catalog.route_for(host, head.target.partition(b"?")[0])
-        if route is None:
-            return NO_ROUTE
-        self._route = route
-        left_ms = self._gateway.header_codec.time_left_ms(head)
-        timeout_ms = route.timeout_ms if left_ms is None else min(route.timeout_ms, left_ms)
-        self._deadline_ms = self._caller.received_ms + timeout_ms
-        return None
-
     async def _serve(self) -> BufferedResponse | ErrorResponse:
         assert self._route is not None
         self._service = self._gateway.catalog.pick_service(self._route)
