Keep the connection pools of an entry apart from the choice of targets

load_balancer.py had 319 lines and kept three collections of pools beside the state of services. ConnectionPools has them, and knows which are retired.

--- a/src/kingcupusher/_entry/load_balancer.py
+++ b/src/kingcupusher/_entry/load_balancer.py
@@ -8,6 +8,7 @@
 
 from kingcupusher._config import ConfigDocument, Service
 from kingcupusher._core.address import Address
+from kingcupusher._entry.connection_pools import ConnectionPools
 from kingcupusher._entry.members import GroupCoordinator, Member
 from kingcupusher._entry.target_events import update_router, update_table
 from kingcupusher._http.pool import ConnectionPool
@@ -20,7 +21,6 @@
 # Cached permissions are renewed after this time; each send checks its permission before it writes.
 PERMISSION_CACHE_MS = 10.0
 RETRY_FLOOR_PER_S = 1.0
-MAX_HANDOFF_CONNECTIONS = 32
 
 
 @dataclass(slots=True)
@@ -55,9 +55,7 @@
         self._services: dict[str, ServiceState] = {}
         self._by_host: dict[bytes, Service] = {}
         self._vms: dict[str, VmRecord] = {}
-        self._pools: dict[str, ConnectionPool] = {}
-        self._handoff_pools: dict[Address, ConnectionPool] = {}
-        self._retired_pools: list[ConnectionPool] = []
+        self._pools = ConnectionPools()
         self._members: Mapping[int, Member] = {}
         self._coordinators: Mapping[int, GroupCoordinator] = {}
         self.in_flight = 0
@@ -68,7 +66,7 @@
         """Apply the services and the number of entries that share the connections."""
         if document.max_entries != self._max_entries:
             self._max_entries = document.max_entries
-            self._retire_pools(list(self._pools))
+            self._pools.retire(self._pools.target_ids)
         removed = self._services.keys() - document.services.keys()
         for name in removed:
             del self._services[name]
@@ -87,9 +85,9 @@
         if vms == self._vms:
             return
         moved = [i for i, vm in self._vms.items() if i in vms and vms[i].address != vm.address]
-        removed = [i for i in self._pools if i not in vms]
+        removed = [i for i in self._pools.target_ids if i not in vms]
         self._vms = vms
-        self._retire_pools([i for i in {*moved, *removed} if i in self._pools])
+        self._pools.retire({*moved, *removed})
         self._sync_targets()
 
     def on_members(
@@ -101,11 +99,7 @@
 
     async def close_unused_connections(self) -> None:
         """Close retired pools, and connections that were idle for too long."""
-        retired, self._retired_pools = self._retired_pools, []
-        for pool in retired:
-            await pool.close()
-        for pool in [*self._pools.values(), *self._handoff_pools.values()]:
-            await pool.close_idle()
+        await self._pools.close_unused()
 
     async def check_idle_connections(self, *, now_ms: float) -> None:
         """Report a reset for targets that closed all idle connections: they may have restarted.
@@ -113,16 +107,12 @@
         As a side effect, a target whose idle timeout is below the 15 s of the pool goes through
         its ramp again after each pause in its traffic.
         """
-        for target_id, pool in list(self._pools.items()):
-            if await pool.discard_closed():
-                self._target_table.on_connection_reset(target_id, sent_ms=now_ms, now_ms=now_ms)
+        for target_id in await self._pools.discard_closed():
+            self._target_table.on_connection_reset(target_id, sent_ms=now_ms, now_ms=now_ms)
 
     async def close(self) -> None:
         """Close all connections to targets and entries."""
-        self._retire_pools(list(self._pools))
-        self._retired_pools += self._handoff_pools.values()
-        self._handoff_pools = {}
-        await self.close_unused_connections()
+        await self._pools.close()
 
     # -- the LoadBalancer protocol
 
@@ -160,14 +150,13 @@
 
     def pool(self, target_id: str) -> ConnectionPool:
         """Return the connection pool of ``target_id``."""
-        pool = self._pools.get(target_id)
-        if pool is None:
-            vm = self._vms[target_id]
-            limits = self._services[vm.service].service.target
-            share = connection_share(limits.connections, max_entries=self._max_entries)
-            pool = ConnectionPool(vm.address, limit=max(1, share))
-            self._pools[target_id] = pool
-        return pool
+        pool = self._pools.for_target(target_id)
+        if pool is not None:
+            return pool
+        vm = self._vms[target_id]
+        limits = self._services[vm.service].service.target
+        share = connection_share(limits.connections, max_entries=self._max_entries)
+        return self._pools.add_target(target_id, vm.address, limit=max(1, share))
 
     def handoff_pool(self, service: Service, *, now_ms: float) -> ConnectionPool | None:
         """Return the pool of another entry that coordinates a closed target of ``service``.
@@ -182,12 +171,7 @@
         if not seats:
             return None
         seat = seats[self._rng.randrange(len(seats))]
-        address = self._members[seat].caller_endpoint
-        pool = self._handoff_pools.get(address)
-        if pool is None:
-            pool = ConnectionPool(address, limit=MAX_HANDOFF_CONNECTIONS)
-            self._handoff_pools[address] = pool
-        return pool
+        return self._pools.for_entry(self._members[seat].caller_endpoint)
 
     def retry_budget(self, service: Service) -> RetryBudget:
         """Return the retry budget of ``service``."""
@@ -228,7 +212,7 @@
             # a uniform choice would give the target less than one request per second.
             if ramping - set(exclude):
                 return ramping
-        return {i for i in state.open_ids if self._has_free_connection(i)}
+        return {i for i in state.open_ids if self._pools.has_free_connection(i)}
 
     def _has_ramp_capacity(self, state: ServiceState, target_id: str, now_ms: float) -> bool:
         permission = self._target_table.send_permission(target_id, now_ms=now_ms)
@@ -249,10 +233,6 @@
         state.ramping_ids = tuple(ramping_ids)
         state.permissions_valid_until_ms = now_ms + PERMISSION_CACHE_MS
 
-    def _has_free_connection(self, target_id: str) -> bool:
-        pool = self._pools.get(target_id)
-        return pool is None or pool.can_acquire
-
     def _ramping_coordinators(self, state: ServiceState, now_ms: float) -> set[int]:
         """Return the seats of other entries that may ramp a target that is closed for this one."""
         seats = set()
@@ -291,7 +271,7 @@
         if state.service.request != service.request:
             state.budget = create_retry_budget(service)
         if state.service.target != service.target:
-            self._retire_pools([i for i in state.target_ids if i in self._pools])
+            self._pools.retire(state.target_ids)
         state.service = service
 
     def _sync_targets(self) -> None:
@@ -306,9 +286,6 @@
             state.target_ids = [vm.vm_id for vm in vms]
             state.permissions_valid_until_ms = float("-inf")
 
-    def _retire_pools(self, target_ids: Collection[str]) -> None:
-        self._retired_pools += [self._pools.pop(target_id) for target_id in target_ids]
-
 
 def create_retry_budget(service: Service) -> RetryBudget:
     """Return a budget that covers the requests in flight at one target that fails."""
