Tell by a field whether an attempt was sent; adapt a target of the tests

Whether a target is to be blamed for a refusal was decided by comparing the text of its reason. AttemptResult.was_sent says it now; no change of behaviour.

--- a/src/kingcupusher/_gateway/attempt.py
+++ b/src/kingcupusher/_gateway/attempt.py
@@ -40,7 +40,6 @@
 }
 MAX_RESPONSES_READ = 3
 """A target may send late duplicates before the response to this request."""
-NO_MEMORY = "the memory for responses is used up"
 METHODS_WITH_BODY = frozenset({b"POST", b"PUT", b"PATCH"})
 
 
@@ -54,6 +53,8 @@
     has_lost_response: bool = False
     """Whether the connection ended without a complete response."""
     announcement: Announcement = NO_ANNOUNCEMENT
+    was_sent: bool = True
+    """False if the entry kept the request back, which tells nothing about the target."""
 
 
 class Attempt:
@@ -114,9 +115,7 @@
             await client.pool.release(connection, reusable=is_complete)
         if result.response is None:
             self.share.release()
-        if result.outcome is AttemptOutcome.SUCCESS:
-            return result
-        if result.reason == NO_MEMORY:
+        if result.outcome is AttemptOutcome.SUCCESS or not result.was_sent:
             return result
         # A saturated target may refuse or fail requests without being faulty.
         if result.outcome is AttemptOutcome.BROKEN or not self.probed.reading.is_saturated:
@@ -129,7 +128,12 @@
 
     async def _exchange(self, connection: ClientConnection, deadline_ms: float) -> AttemptResult:
         if not self.share.try_begin():
-            return AttemptResult(self, AttemptOutcome.NOT_RUN, reason=NO_MEMORY)
+            return AttemptResult(
+                self,
+                AttemptOutcome.NOT_RUN,
+                reason="the memory for responses is used up",
+                was_sent=False,
+            )
         connection.start_next_request()
         await connection.send(self._encode(connection, deadline_ms))
         response = await self._read_own_response(connection)
--- a/testing/gateway/endless_target.py
+++ b/testing/gateway/endless_target.py
@@ -51,7 +51,7 @@
         self.request_count = 0
         self._kind = kind
         self._probes_too = probes_too
-        self._sock._socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
 
     async def _on_client(self, sock):
         with suppress(OSError):
