Free the body of a response as soon as reading it fails

Cause: a response that fails or is cancelled returns its share of the budget, but the error refers to the reader and so to the body until the garbage collector finds the cycle.

"A response that breaks off frees its body although its error is kept" failed before. endless_response.feature 24 of 24, gateway.feature and concurrent_attempts.feature 54 of 54.

--- a/src/kingcupusher/_http/buffered.py
+++ b/src/kingcupusher/_http/buffered.py
@@ -61,6 +61,9 @@
     share.begin_reading(reader.evict)
     try:
         return await reader.read()
+    except BaseException:
+        reader.discard_body()
+        raise
     finally:
         share.complete()
 
@@ -96,9 +99,13 @@
     def evict(self) -> None:
         """Give up the response, because others need the memory."""
         self._is_evicted = True
-        self._body = BodyPieces()
+        self.discard_body()
         self._connection.abort()
 
+    def discard_body(self) -> None:
+        """Free the body at once; the error that ends the response may refer to this reader."""
+        self._body = BodyPieces()
+
     async def read(self) -> BufferedResponse:
         while True:
             event = self._connection.next_event()
--- a/testing/features/endless_response.feature
+++ b/testing/features/endless_response.feature
@@ -73,3 +73,8 @@
       | large chunks                           |
       | interim responses                      |
       | bytes without a line end               |
+
+  # Guards against memory that was given back to the budget while the error of the response still refers to the body.
+  Scenario: A response that breaks off frees its body although its error is kept
+    When reading a response of which 200 KB arrive fails, and its error is kept
+    Then the reader of the response holds no body
