Keep large responses in the zone of the entry

Cause: the choice of a target had one small penalty for other zones, whatever a response costs to carry, so that a download of 90 KB crossed zones whenever a target there was a little faster.

Change: a route of the kind download probes all targets of its zone before those of others and prefers them by a cost that covers the transfer. It accepts a slow target of its zone with a free slot as long as that takes half of the latency objective at most. Other routes and deployments without such routes are routed as before.

--- a/src/kingcupusher/_gateway/selector.py
+++ b/src/kingcupusher/_gateway/selector.py
@@ -15,7 +15,13 @@
 from kingcupusher._gateway.target_clients import TargetClient, TargetClients
 from kingcupusher._limits import connection_share
 from kingcupusher._routing.acceptance import MAX_FAIR_COST, MAX_GOOD_COST, AcceptanceCriteria
-from kingcupusher._routing.selection import PROBE_ORDERS, target_cost
+from kingcupusher._routing.selection import (
+    OTHER_ZONE_PENALTY,
+    PROBE_ORDERS,
+    USUAL_PREFERENCE,
+    ZonePreference,
+    target_cost,
+)
 
 PROBE_COUNT = 5
 """More than five probes had no benefit at normal load (docs/decisions/asking.md)."""
@@ -24,7 +30,6 @@
 MAX_PROBE_ROUNDS = 3
 MAX_QUEUED = 3
 """A target with this many queued requests or more is not used: it may soon refuse some."""
-PROBE_ORDER = "zone_first"
 CONNECTION_SHARE = 0.6
 """Used share of a target's connections; a target with a long queue accepts fewer."""
 
@@ -111,13 +116,14 @@
         exclude: Collection[str],
         deadline_ms: float,
         count: int = PROBE_COUNT,
+        preference: ZonePreference = USUAL_PREFERENCE,
     ) -> ProbeResults:
         """Probe ``count`` targets, and further ones if none of them is good.
 
         While probes are scarce, recent readings are used first, and probes only if none is good.
         """
         started_ms = now_ms()
-        order = self._probe_order(service, exclude)
+        order = self._probe_order(service, exclude, preference)
         results: list[ProbedTarget] = []
         probed_count = 0
         try:
@@ -142,7 +148,10 @@
         except BaseException:
             await self.release(results)
             raise
-        usable = sorted(self._filter_usable(service, results), key=self.cost)
+        usable = sorted(
+            self._filter_usable(service, results),
+            key=lambda probed: self._cost_with(probed, preference),
+        )
         if not usable:
             usable = self._select_cold_target(service, results)
         elif self.cost(usable[0]) > MAX_GOOD_COST:
@@ -181,7 +190,9 @@
     def _is_suspended(self, target: Target) -> bool:
         return self._clients.get(target).is_suspended(now_ms=now_ms())
 
-    def _probe_order(self, service: ServiceConfig, exclude: Collection[str]) -> Sequence[Target]:
+    def _probe_order(
+        self, service: ServiceConfig, exclude: Collection[str], preference: ZonePreference
+    ) -> Sequence[Target]:
         current_ms = now_ms()
         entries = self._catalog.live_entries.count(now_ms=current_ms)
         targets = self._catalog.usable_targets(service.name)
@@ -203,7 +214,7 @@
                 continue
             if self._allowance.has_reading_or_probe(client):
                 candidates.append(self._create_candidate(client, current_ms))
-        ordered = PROBE_ORDERS.get(PROBE_ORDER).order(
+        ordered = PROBE_ORDERS.get(preference.probe_order).order(
             candidates, entry=self._entry, top_k=NEAR_COUNT, rng=self._rng
         )
         return [candidate.target for candidate in ordered]
@@ -237,14 +248,25 @@
 
     def cost(self, probed: ProbedTarget) -> float:
         """Return the cost of sending a request to the target now."""
-        is_own_zone = probed.target.record.zone == self._zone
-        return target_cost(probed.reading, is_own_zone=is_own_zone)
+        return target_cost(probed.reading, is_own_zone=self._is_own_zone(probed))
+
+    def _cost_with(self, probed: ProbedTarget, preference: ZonePreference) -> float:
+        """Return the cost by which targets are ordered for a request with ``preference``."""
+        if self._is_own_zone(probed):
+            return self.cost(probed)
+        return self.cost(probed) + preference.other_zone_penalty - OTHER_ZONE_PENALTY
 
     def is_acceptable(
         self, probed: ProbedTarget, criteria: AcceptanceCriteria, *, is_last: bool = False
     ) -> bool:
         """Return whether the request accepts the target; a cold one is selected for it only."""
-        return probed.reading.is_cold or criteria.accepts(self.cost(probed), is_last=is_last)
+        is_near = self._is_own_zone(probed) and not probed.reading.is_saturated
+        return probed.reading.is_cold or criteria.accepts(
+            self.cost(probed), is_near=is_near, is_last=is_last
+        )
+
+    def _is_own_zone(self, probed: ProbedTarget) -> bool:
+        return probed.target.record.zone == self._zone
 
     def claim_first(
         self,
--- a/src/kingcupusher/_gateway/target_search.py
+++ b/src/kingcupusher/_gateway/target_search.py
@@ -16,7 +16,12 @@
 from kingcupusher._gateway.request_log import RequestLog
 from kingcupusher._gateway.state import GatewayState
 from kingcupusher._gateway.wait_queue import WaitingRequest
-from kingcupusher._routing.acceptance import AcceptanceCriteria
+from kingcupusher._routing.acceptance import (
+    MAX_GOOD_COST,
+    AcceptanceCriteria,
+    large_response_cost,
+)
+from kingcupusher._routing.selection import LARGE_RESPONSE_PREFERENCE, USUAL_PREFERENCE
 
 
 class TargetSearch:
@@ -70,6 +75,7 @@
             now_ms=now_ms(),
             objective_ms=self._route.objective_ms,
             deadline_ms=self._deadline_ms,
+            max_near_cost=self._max_near_cost(),
         )
         if not wait_queue:
             probed = await self._probe(criteria)
@@ -83,6 +89,13 @@
             return None
         return await self._wait(criteria) or await self._probe(criteria, is_last=True)
 
+    def _max_near_cost(self) -> float:
+        """Return up to which cost a target of the own zone with a free slot is accepted."""
+        if not self._route.has_large_responses:
+            return MAX_GOOD_COST
+        recent_ms = self._gateway.response_time(self._route).recent_ms
+        return large_response_cost(objective_ms=self._route.objective_ms, recent_ms=recent_ms)
+
     def _paused_refusal(self) -> ErrorResponse | None:
         until_ms = self._gateway.selector.quotas.all_paused_until_ms(self._service)
         return None if until_ms is None else targets_paused(until_ms - now_ms())
@@ -117,7 +130,12 @@
         """Probe targets and return the best; with ``criteria``, only if it is acceptable."""
         selector = self._gateway.selector
         results = await selector.probe_targets(
-            self._service, exclude=self._tried_targets, deadline_ms=self._deadline_ms
+            self._service,
+            exclude=self._tried_targets,
+            deadline_ms=self._deadline_ms,
+            preference=(
+                LARGE_RESPONSE_PREFERENCE if self._route.has_large_responses else USUAL_PREFERENCE
+            ),
         )
         best = selector.claim_first(
             results.usable, self._service, criteria=criteria, is_last=is_last
--- a/src/kingcupusher/_routing/selection.py
+++ b/src/kingcupusher/_routing/selection.py
@@ -6,12 +6,17 @@
 from random import Random
 from typing import Protocol, TypeVar
 
+from msgspec import Struct
+
 from kingcupusher._core import Registry
 from kingcupusher._core.rendezvous import rendezvous_weight
 from kingcupusher._routing.load_reading import LoadReading, expected_slowness
 
 OTHER_ZONE_PENALTY = 0.05
 """Added to the cost of targets in other zones, so that equally fast ones in the own zone win."""
+LARGE_RESPONSE_PENALTY = 3.0
+"""The same for a route with large responses, whose transfer between zones costs more than the time
+that a target with a usual share of other work on its machine takes longer."""
 
 
 class Candidate(Protocol):
@@ -94,6 +99,34 @@
         )
 
 
+@PROBE_ORDERS.register("own_zone")
+class _OwnZone:
+    """All targets of the own zone, the near ones first, before those of other zones."""
+
+    @staticmethod
+    def order(candidates: Sequence[C], *, entry: str, top_k: int, rng: Random) -> list[C]:
+        """Return the candidates that neither failed lately nor are cold first."""
+        by_affinity = _by_affinity(candidates, entry)
+        good = [c for c in by_affinity if not c.is_suspended and not c.is_cold]
+        own = [c for c in good if c.is_own_zone]
+        other = [c for c in good if not c.is_own_zone]
+        suspended = [c for c in by_affinity if c.is_suspended and not c.is_cold]
+        cold = [c for c in by_affinity if c.is_cold]
+        parts = (own[:top_k], own[top_k:], other[:top_k], other[top_k:], suspended, cold)
+        return _shuffled(parts, rng)
+
+
+class ZonePreference(Struct, frozen=True):
+    """How strongly a request prefers the targets of the own zone."""
+
+    probe_order: str
+    other_zone_penalty: float
+
+
+USUAL_PREFERENCE = ZonePreference("zone_first", OTHER_ZONE_PENALTY)
+LARGE_RESPONSE_PREFERENCE = ZonePreference("own_zone", LARGE_RESPONSE_PENALTY)
+
+
 def target_cost(reading: LoadReading, *, is_own_zone: bool) -> float:
     """Return the expected slowness plus a penalty for a target in another zone."""
     return expected_slowness(reading) + (0.0 if is_own_zone else OTHER_ZONE_PENALTY)
--- a/testing/features/customers.feature
+++ b/testing/features/customers.feature
@@ -3,7 +3,7 @@
 
   Scenario Outline: A request <request> gets status <status>, and its target is told <told>
     Given a gateway whose configuration names the customers acme and zenith
-    When a caller sends it a request <request>
+    When its caller sends a request <request>
     Then the caller gets status <status>
     And the target is told <told>, and no key
 
@@ -21,13 +21,13 @@
 
   Scenario: Without customers, the headers of a caller reach the target unchanged
     Given a gateway whose configuration names no customers
-    When a caller sends it a request with a key of acme
+    When its caller sends a request with a key of acme
     Then the caller gets status 200
     And the target gets the headers of the caller
 
   Scenario Outline: A key that a version <change> counts from that version on, on open connections too
     Given a gateway whose configuration names the customers acme and zenith
-    When a caller sends requests with a key before and after a version <change> it
+    When its caller sends requests with a key before and after a version <change> it
     Then they get the statuses <statuses>
 
     Examples:
--- a/testing/features/probe_order.feature
+++ b/testing/features/probe_order.feature
@@ -15,6 +15,9 @@
       | zone_first | 5   | 20    | all   | cold      | 20    | b     |
       | zone_first | 5   | 20    | all   | suspended | 20    | b     |
       | zone_first | 0   | 20    | none  | cold      | 20    | b     |
+      | own_zone   | 40  | 120   | none  | cold      | 40    | a     |
+      | own_zone   | 2   | 20    | none  | cold      | 2     | a     |
+      | own_zone   | 5   | 20    | all   | suspended | 20    | b     |
 
   Scenario Outline: Pattern "one target slow by turns": the probe order contains each target once
     Given an entry in zone a with 8 targets in its zone and 9 in another
@@ -25,6 +28,7 @@
       | policy     |
       | near_first |
       | zone_first |
+      | own_zone   |
 
   Scenario Outline: Pattern "many entries, few requests each": an entry probes the same few targets
     Given an entry in zone a with 40 targets in its zone and 120 in another
--- a/testing/features/steps/customer_steps.py
+++ b/testing/features/steps/customer_steps.py
@@ -122,7 +122,7 @@
     context.routes = _table(())
 
 
-@when("a caller sends it a request {request}")
+@when("its caller sends a request {request}")
 def when_request(context, request):
     name, headers = REQUESTS[request]
 
@@ -170,7 +170,7 @@
 }
 
 
-@when("a caller sends requests with a key before and after a version {change} it")
+@when("its caller sends requests with a key before and after a version {change} it")
 def when_version_changes(context, change):
     before, after = CHANGES[change]
     headers = {"authorization": f"Bearer {ACME_KEYS[0]}"}
