Start entries without OpenSSL

Cause: hashlib and curio load OpenSSL when they are imported, although an entry uses no TLS. It takes more than a megabyte of each of hundreds of processes.

Change: the modules that load OpenSSL are hidden during the imports at the start; hashlib falls back to its own algorithms. They can be imported later.

The new scenario of start.feature fails without the change.

--- a/src/kingcupusher/_core/startup.py
+++ b/src/kingcupusher/_core/startup.py
@@ -5,15 +5,20 @@
 import gc
 import signal
 import socket
+import sys
 from collections.abc import Iterator
 from contextlib import contextmanager
 
 from kingcupusher._core.address import Address
 
+UNUSED_MODULES = ("ssl", "_ssl", "_hashlib")
+"""Modules that load OpenSSL, which takes more than a megabyte of each process. Entries use no TLS,
+and the libraries that import these modules work without them."""
+
 
 @contextmanager
 def startup_imports() -> Iterator[None]:
-    """Pause garbage collection while modules are imported; ignore SIGHUP until it has a handler.
+    """Import modules without garbage collection and OpenSSL; ignore SIGHUP until it has a handler.
 
     Garbage collection finds nothing to free in new modules. The default action of SIGHUP, which
     requests a reload, would end the process; settings that are read within the context are read
@@ -21,9 +26,13 @@
     """
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     gc.disable()
+    blocked = [name for name in UNUSED_MODULES if name not in sys.modules]
+    sys.modules.update(dict.fromkeys(blocked))  # type: ignore[arg-type]
     try:
         yield
     finally:
+        for name in blocked:
+            del sys.modules[name]
         gc.freeze()
         gc.enable()
 
--- a/testing/features/start.feature
+++ b/testing/features/start.feature
@@ -10,6 +10,10 @@
     When only the settings module of an entry is imported
     Then no library of the request path is imported
 
+  Scenario: The request path is imported without OpenSSL, which costs memory in each process
+    When all modules of an entry are imported
+    Then OpenSSL is not loaded, and can still be imported later
+
   Scenario: Garbage collection is disabled only during the imports
     Then garbage collection is enabled again after a failed import
 
--- a/testing/features/steps/start_steps.py
+++ b/testing/features/steps/start_steps.py
@@ -38,6 +38,31 @@
 print(" ".join(sys.modules))
 """
 
+LIST_LIBRARIES_SCRIPT = """\
+from kingcupusher._core.startup import startup_imports
+
+with startup_imports():
+    import kingcupusher._gateway.process
+    import kingcupusher_platform.headers
+    import kingcupusher_platform.store
+print("before:", [word for word in open("/proc/self/maps").read().split() if "/lib" in word])
+import ssl
+print("after:", ssl.OPENSSL_VERSION)
+"""
+
+
+@when("all modules of an entry are imported")
+def when_all_imported(context):
+    command = [sys.executable, "-c", LIST_LIBRARIES_SCRIPT]
+    result = subprocess.run(command, capture_output=True, text=True, timeout=TIMEOUT_S, check=True)
+    context.libraries, context.version = result.stdout.splitlines()
+
+
+@then("OpenSSL is not loaded, and can still be imported later")
+def then_without_openssl(context):
+    assert "libssl" not in context.libraries and "libcrypto" not in context.libraries
+    assert "OpenSSL" in context.version, context.version
+
 
 @given("a listening socket to which a caller has sent a request")
 def given_early_caller(context):
