Limit hedged requests, and send them by recent response times

Cause: an idempotent request was hedged at 2.5 times the expected time, whatever the route's response times were, and as often as the retry budget allowed. Operators could not bound the extra work.

The entry keeps a credit, so a fleet exceeds the share by at most max(entries, 40) hedges. The hedge is due at the 95th percentile of the route's last 128 response times relative to the expected ones, or from the 90th on if only that meets the objective. None is sent before 20 samples, nor while a quarter of the service's responses are overdue. A hedge that is held back is tried again until it cannot help.

The scenarios of gateway.feature about hedges now set the limit and known response times.

--- a/src/kingcupusher/_gateway/request_log.py
+++ b/src/kingcupusher/_gateway/request_log.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from kingcupusher._core import now_ms
-from kingcupusher._gateway.attempt import AttemptResult
+from kingcupusher._gateway.attempt import Attempt, AttemptResult
 from kingcupusher._gateway.load_probe import ProbedTarget
 from kingcupusher._gateway.selector import ProbeResults
 from kingcupusher._observe.events import EventLog
@@ -77,6 +77,26 @@
             max_requests_per_s=reading.max_requests_per_s,
         )
 
+    def record_hedge(self, hedge: Attempt, *, elapsed_ms: float) -> None:
+        """Log a hedge, sent ``elapsed_ms`` after the attempt whose response is overdue."""
+        self.count_hedge("sent")
+        target_id = hedge.probed.target.target_id
+        self._log.request_event(
+            "hedge", id=self._id, target=target_id, elapsed_ms=round(elapsed_ms, 1)
+        )
+
+    def record_hedge_held_back(self, limit: str, *, elapsed_ms: float) -> None:
+        """Log that ``limit`` held a hedge back."""
+        key = labels(service=self.service or NO_SERVICE, limit=limit)
+        self._metrics.count("hedges_held_back_total", key)
+        self._log.request_event(
+            "hedge held back", id=self._id, limit=limit, elapsed_ms=round(elapsed_ms, 1)
+        )
+
+    def count_hedge(self, event: str) -> None:
+        """Count a hedge that was sent, that won, or that led to a cancelled attempt."""
+        self._metrics.count("hedges_total", labels(service=self.service or NO_SERVICE, event=event))
+
     def record_end(
         self,
         status: int,
--- a/src/kingcupusher/_gateway/settings.py
+++ b/src/kingcupusher/_gateway/settings.py
@@ -13,7 +13,8 @@
 
     ``seeds`` are relay addresses of other entries, used to start while the store is unavailable.
     ``link_mbps`` is the bandwidth of the VM's network link. ``response_memory_bytes`` bounds what
-    all responses take in total, from their first byte until they are written.
+    all responses take in total, from their first byte until they are written. ``hedge_percent``
+    limits hedged requests as a share of the requests of a service; 0 means that none is sent.
     """
 
     entry: str
@@ -27,3 +28,4 @@
     connection_limit: int
     link_mbps: float
     response_memory_bytes: int
+    hedge_percent: float = 0.0
--- a/src/kingcupusher/_gateway/state.py
+++ b/src/kingcupusher/_gateway/state.py
@@ -10,6 +10,7 @@
 from kingcupusher._gateway.crash_reports import CrashReports, CrashStore
 from kingcupusher._gateway.drain import Drain
 from kingcupusher._gateway.header_codec import HeaderCodec
+from kingcupusher._gateway.hedge_state import HedgeState
 from kingcupusher._gateway.load_probe import LoadProber
 from kingcupusher._gateway.selector import TargetSelector
 from kingcupusher._gateway.settings import GatewaySettings
@@ -31,6 +32,7 @@
         "_response_times",
         "crash_reports",
         "drain",
+        "hedge_state",
         "response_budget",
         "catalog",
         "header_codec",
@@ -75,6 +77,9 @@
         self._response_times: dict[str, ResponseTimeEstimate] = {}
         self.crash_reports = CrashReports(store, on_event=self.on_event)
         self.drain = Drain()
+        self.hedge_state: HedgeState | None = None
+        if settings.hedge_percent > 0.0:
+            self.hedge_state = HedgeState(percent=settings.hedge_percent, rng=Random())
 
     def on_event(self, event: str, **fields: object) -> None:
         """Log an event and count it in the metrics."""
@@ -106,6 +111,18 @@
         for target_id in targets:
             await self.crash_reports.add(CrashWithdrawn(fingerprint, target_id))
 
+    def on_request(self, service: str) -> None:
+        """Count a request of ``service``, of which retries and hedges may be a share."""
+        current_ms = monotonic_ms()
+        self.retry_budget(service).on_request(now_ms=current_ms)
+        if self.hedge_state is not None:
+            entries = self.catalog.live_entries.count(now_ms=current_ms)
+            self.hedge_state.limit(service).on_request(entries=entries)
+
+    def may_hedge(self, route: Route) -> bool:
+        """Return whether requests of ``route`` may be sent to a second target in parallel."""
+        return self.hedge_state is not None and route.is_idempotent
+
     def retry_budget(self, service: str) -> WindowedRetryBudget:
         """Return the retry budget of ``service``."""
         budget = self._retry_budgets.get(service)
--- a/src/kingcupusher/_observe/metrics_registry.py
+++ b/src/kingcupusher/_observe/metrics_registry.py
@@ -19,6 +19,8 @@
     "requests_total": "Requests by service, status and cause.",
     "customer_requests_total": "Requests by customer and status.",
     "sends_total": "Sends to targets by service and outcome.",
+    "hedges_total": "Hedged requests by service and event: sent, won, or an attempt cancelled.",
+    "hedges_held_back_total": "Hedged requests held back, by service and limit.",
     "questions_total": "Questions to targets about their load.",
     "connections_closed_total": "Connections of callers that ended, by reason.",
     "waits_total": "Requests that waited for a place, by service and whether they got one.",
--- a/src/kingcupusher/_routing/acceptance.py
+++ b/src/kingcupusher/_routing/acceptance.py
@@ -11,8 +11,6 @@
 INITIAL_OBJECTIVE_SHARE = 0.4
 """Initial estimate of the typical response time as a share of the latency objective."""
 EWMA_WEIGHT = 0.05
-HEDGE_DELAY_FACTOR = 2.5
-"""One response in a hundred takes longer than this multiple of the expected time."""
 
 
 class AcceptanceCriteria:
@@ -46,10 +44,6 @@
     def __init__(self, *, objective_ms: float) -> None:
         self.typical_ms = objective_ms * INITIAL_OBJECTIVE_SHARE
 
-    def hedge_delay_ms(self, *, cost: float) -> float:
-        """Return the time after which the response of a target of this ``cost`` is overdue."""
-        return self.typical_ms * max(cost, 1.0) * HEDGE_DELAY_FACTOR
-
     def on_response(self, *, elapsed_ms: float, cost: float) -> None:
         """Record the time of a response from a target of this ``cost``."""
         self.typical_ms += (elapsed_ms / max(cost, 1.0) - self.typical_ms) * EWMA_WEIGHT
--- a/testing/features/gateway.feature
+++ b/testing/features/gateway.feature
@@ -105,18 +105,21 @@
   Scenario: Pattern "one target loses its answers": an overdue idempotent request is hedged
     Given a gateway with these targets: unresponsive,healthy
     And the first target is preferred to the second
+    And hedges of up to 100 percent, with the usual response times known
     When a caller sends it a lookup
     Then the second target ran it within 600 ms, and the log has the first as superseded
 
   Scenario: Pattern "targets lose answers and repeats are spent": no hedge is sent without a retry budget
     Given a gateway without retry budget, with these targets: slow,healthy
     And the first target is preferred to the second
+    And hedges of up to 100 percent, with the usual response times known
     When a caller sends it a lookup
     Then only the first target got it, 1 time
 
   Scenario: Pattern "one target loses its answers": a non-idempotent request is not hedged
     Given a gateway with these targets: slow,healthy
     And the first target is preferred to the second
+    And hedges of up to 100 percent, with the usual response times known
     When a caller sends it a transfer
     Then only the first target got it, 1 time
 
--- a/testing/gateway/fixture.py
+++ b/testing/gateway/fixture.py
@@ -96,6 +96,7 @@
         targets=(),
         response_memory_bytes=64_000_000,
         entries=("e1",),
+        hedge_percent=0.0,
     ):
         self.targets = list(targets) or [
             FakeTarget(f"t{i}", behaviour, load=loads[i] if loads else "0,0,100,0")
@@ -113,6 +114,7 @@
             connection_limit=20,
             link_mbps=1_000.0,
             response_memory_bytes=response_memory_bytes,
+            hedge_percent=hedge_percent,
         )
         self.log_reader, log_writer = os.pipe()
         self.catalog = Catalog()
