--- a/testing/features/hedging.feature
+++ b/testing/features/hedging.feature
@@ -100,6 +100,9 @@
       | 281 ms | 10      | 0.7   |
 
   Scenario: Load "all targets slow at once": a slow service does not double its load
-    Given all targets of the model become 3 times slower at once, with 100 percent
-    Then less than 15 percent of the requests are hedged in the 10 s after it
+    Given all targets of the model become 4 times slower at once, with 100 percent
+    Then less than 10 percent of the requests are hedged in the 10 s after it
     And the hedges stay within the limit in each window
+
+  Scenario: Load "all targets slow at once": an entry notices it after a few overdue responses
+    Then a service counts as slow after 6 overdue responses, and seldom at the usual share
--- a/testing/features/steps/hedging_gateway_steps.py
+++ b/testing/features/steps/hedging_gateway_steps.py
@@ -18,8 +18,9 @@
 async def _know_response_times(fixture):
     state = fixture.gateway.hedge_state
     if state is not None:
-        for _ in range(KNOWN_RESPONSES):
-            state.relative_times("lookup").add(1.0)
+        for route in ("lookup", "transfer"):
+            for _ in range(KNOWN_RESPONSES):
+                state.relative_times(route).add(1.0)
 
 
 @given("hedges of up to {percent:d} percent, with the usual response times known")
--- a/testing/features/steps/hedging_steps.py
+++ b/testing/features/steps/hedging_steps.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from kingcupusher._limits.hedge_limit import FLEET_SLACK, HedgeLimit
-from kingcupusher._routing.hedging import MIN_SAMPLES, WINDOW_SAMPLES, RelativeTimes
+from kingcupusher._routing.hedging import MIN_SAMPLES, WINDOW_SAMPLES, OverdueShare, RelativeTimes
 from kingcupusher_platform.settings import SettingsFileError, parse_hedge_percent
 from testing.hedging_model import Deployment, HedgingModel
 from testing.properties import check_property
@@ -23,6 +23,8 @@
 STEP_MS = 500
 WINDOW_MS = 10_000.0
 CALM_MS = 40_000.0
+SPARE_LOAD = 0.1
+"""So low that no request waits and good targets are free, which would hold hedges back as well."""
 
 
 @then("in no history has a window more hedges than its share of the requests and the saved ones")
@@ -177,18 +179,40 @@
 def given_slow_fleet(context, factor, percent):
     context.percent = percent
     context.on = _run(
-        "85 ms", percent, load=0.3, slow_from_ms=15_000.0, slow_factor=factor, entries=10
+        "85 ms",
+        percent,
+        load=SPARE_LOAD,
+        slow_from_ms=15_000.0,
+        slow_factor=factor,
+        entries=10,
+        count=1_200,
     )
 
 
 @then("less than {percent:g} percent of the requests are hedged in the 10 s after it")
 def then_slow_fleet(context, percent):
-    # Guards against a slow service that doubles its own load; the limit alone would allow it.
+    # Guards against a slow service that doubles its own load; a limit of 100 % would allow it.
     requests, hedges = context.on.requests_ms, context.on.hedges_ms
     share = _count(hedges, 25_000.0) / _count(requests, 25_000.0)
     assert share < percent / 100.0, share
 
 
+@then("a service counts as slow after {count:d} overdue responses, and seldom at the usual share")
+def then_slow_service(context, count):
+    # Guards against hedges that go on while the whole service is slow, and against none at all.
+    overdue = OverdueShare()
+    rng, slow = Random(1), 0
+    for _ in range(5_000):
+        overdue.record(is_overdue=rng.random() < 0.1)
+        slow += overdue.is_service_slow
+    assert slow < 0.02 * 5_000, slow
+    overdue = OverdueShare()
+    for sent in range(count):
+        assert not overdue.is_service_slow or sent == count - 1, sent
+        overdue.record(is_overdue=True)
+    assert overdue.is_service_slow, overdue.share
+
+
 @then("a hedge limit of {text} is read as {percent:g} percent")
 def then_percent_read(context, text, percent):
     assert parse_hedge_percent("" if text == "nothing" else text) == percent
