Add the command that explains how an entry would handle a request

Cause: an operator could not see why an entry refuses a request or chooses a target without sending one and reading its log.

Change: POST /explain on the metrics address answers from what the entry knows, and kingcupusher explain prints it. The selector's probe order is public for this.

--- a/src/kingcupusher/_cli/main.py
+++ b/src/kingcupusher/_cli/main.py
@@ -8,6 +8,7 @@
 from kingcupusher._cli.check import check
 from kingcupusher._cli.entry import entry
 from kingcupusher._cli.exit_codes import EXIT_CODES_HELP
+from kingcupusher._cli.explain import explain
 from kingcupusher._cli.publish import publish
 from kingcupusher._cli.status import status
 from kingcupusher._cli.trace import trace
@@ -20,6 +21,7 @@
 app.add_typer(zone)
 app.command("check")(check)
 app.command("entry")(entry)
+app.command("explain")(explain)
 app.command("trace")(trace)
 app.command("status", epilog=EXIT_CODES_HELP)(status)
 app.command("publish", epilog=EXIT_CODES_HELP)(publish)
--- a/src/kingcupusher/_gateway/process.py
+++ b/src/kingcupusher/_gateway/process.py
@@ -16,6 +16,7 @@
 from kingcupusher._discovery import NO_POSITION, Catalog, ChangeSource, StoreFollower
 from kingcupusher._gateway.crash_reports import CrashStore
 from kingcupusher._gateway.exchange import Exchange
+from kingcupusher._gateway.explanation import EXPLAIN_PATH, respond_to_question
 from kingcupusher._gateway.header_codec import HeaderCodec
 from kingcupusher._gateway.settings import GatewaySettings
 from kingcupusher._gateway.state import GatewayState
@@ -247,6 +248,8 @@
         await serve(self._gateway.settings.metrics_address, self._handle_metrics)
 
     async def _handle_metrics(self, request: Request) -> Response:
+        if request.path == EXPLAIN_PATH:
+            return respond_to_question(request, self._gateway)
         if request.path != METRICS_PATH:
             return Response(404, [], b"")
         headers = [(b"content-type", b"text/plain; version=0.0.4; charset=utf-8")]
--- a/src/kingcupusher/_gateway/selector.py
+++ b/src/kingcupusher/_gateway/selector.py
@@ -117,7 +117,7 @@
         While probes are scarce, recent readings are used first, and probes only if none is good.
         """
         started_ms = now_ms()
-        order = self._probe_order(service, exclude)
+        order = self.probe_order(service, exclude)
         results: list[ProbedTarget] = []
         probed_count = 0
         try:
@@ -181,7 +181,8 @@
     def _is_suspended(self, target: Target) -> bool:
         return self._clients.get(target).is_suspended(now_ms=now_ms())
 
-    def _probe_order(self, service: ServiceConfig, exclude: Collection[str]) -> Sequence[Target]:
+    def probe_order(self, service: ServiceConfig, exclude: Collection[str]) -> Sequence[Target]:
+        """Return the targets that may be probed, in the order in which they are; sends nothing."""
         current_ms = now_ms()
         entries = self._catalog.live_entries.count(now_ms=current_ms)
         targets = self._catalog.usable_targets(service.name)
