Merge the limit on hedged requests and the command explain

Cause: hedges had no limit that an operator sets, and were sent after a fixed multiple of the expected time; nobody could ask an entry where a request would go.

The explanation uses the zone preference of the route. A step of users_platform.feature names the identity that request_headers takes now; it had failed since keys identify customers.

Result: hedging, explain, gateway, large_responses, concurrent_attempts, users_platform and documentation features pass (158 scenarios).

--- a/src/kingcupusher/_gateway/selector.py
+++ b/src/kingcupusher/_gateway/selector.py
@@ -123,7 +123,7 @@
         While probes are scarce, recent readings are used first, and probes only if none is good.
         """
         started_ms = now_ms()
-        order = self._probe_order(service, exclude, preference)
+        order = self.probe_order(service, exclude, preference)
         results: list[ProbedTarget] = []
         probed_count = 0
         try:
@@ -190,9 +190,13 @@
     def _is_suspended(self, target: Target) -> bool:
         return self._clients.get(target).is_suspended(now_ms=now_ms())
 
-    def _probe_order(
-        self, service: ServiceConfig, exclude: Collection[str], preference: ZonePreference
+    def probe_order(
+        self,
+        service: ServiceConfig,
+        exclude: Collection[str],
+        preference: ZonePreference = USUAL_PREFERENCE,
     ) -> Sequence[Target]:
+        """Return the targets that may be probed, in the order in which they are; sends nothing."""
         current_ms = now_ms()
         entries = self._catalog.live_entries.count(now_ms=current_ms)
         targets = self._catalog.usable_targets(service.name)
--- a/src/kingcupusher/_gateway/target_search.py
+++ b/src/kingcupusher/_gateway/target_search.py
@@ -21,7 +21,16 @@
     AcceptanceCriteria,
     large_response_cost,
 )
-from kingcupusher._routing.selection import LARGE_RESPONSE_PREFERENCE, USUAL_PREFERENCE
+from kingcupusher._routing.selection import (
+    LARGE_RESPONSE_PREFERENCE,
+    USUAL_PREFERENCE,
+    ZonePreference,
+)
+
+
+def zone_preference(route: Route) -> ZonePreference:
+    """Return how strongly the requests of ``route`` prefer the targets of the own zone."""
+    return LARGE_RESPONSE_PREFERENCE if route.has_large_responses else USUAL_PREFERENCE
 
 
 class TargetSearch:
@@ -133,9 +142,7 @@
             self._service,
             exclude=self._tried_targets,
             deadline_ms=self._deadline_ms,
-            preference=(
-                LARGE_RESPONSE_PREFERENCE if self._route.has_large_responses else USUAL_PREFERENCE
-            ),
+            preference=zone_preference(self._route),
         )
         best = selector.claim_first(
             results.usable, self._service, criteria=criteria, is_last=is_last
--- a/src/kingcupusher/_routing/acceptance.py
+++ b/src/kingcupusher/_routing/acceptance.py
@@ -17,8 +17,6 @@
 EWMA_WEIGHT = 0.05
 RECENT_EWMA_WEIGHT = 0.3
 """An entry gets few requests for large responses, so their average must follow the first ones."""
-HEDGE_DELAY_FACTOR = 2.5
-"""One response in a hundred takes longer than this multiple of the expected time."""
 
 
 class AcceptanceCriteria:
@@ -72,10 +70,6 @@
         self.typical_ms = objective_ms * INITIAL_OBJECTIVE_SHARE
         self.recent_ms = self.typical_ms
 
-    def hedge_delay_ms(self, *, cost: float) -> float:
-        """Return the time after which the response of a target of this ``cost`` is overdue."""
-        return self.typical_ms * max(cost, 1.0) * HEDGE_DELAY_FACTOR
-
     def on_response(self, *, elapsed_ms: float, cost: float) -> None:
         """Record the time of a response from a target of this ``cost``."""
         usual_ms = elapsed_ms / max(cost, 1.0)
--- a/testing/features/steps/users_platform_steps.py
+++ b/testing/features/steps/users_platform_steps.py
@@ -252,7 +252,9 @@
             (b"x-kingcupusher-attempt-id", b"abc"),
         ],
     )
-    headers = PlatformHeaderCodec().request_headers(head, target_id="i-1", remaining_ms=120)
+    headers = PlatformHeaderCodec().request_headers(
+        head, target_id="i-1", remaining_ms=120, identity=None
+    )
     assert headers == [
         (b"host", b"h"),
         (b"x-other", b"2"),
