Refuse waiting requests on arrival only while waits end in vain

A queue in which every request gets a target before its wait ends could still be refused by the forecast, which counts no requests that leave. Refusals now need a wait that ended without a good target in the last 1.4 s.

Without the condition, in a scratch copy, the scenario with no wait in vain fails.

--- a/src/kingcupusher/_limits/wait_forecast.py
+++ b/src/kingcupusher/_limits/wait_forecast.py
@@ -14,6 +14,8 @@
 MAX_LAST_CHANCE = 0.25
 """At the end of its wait, a request also accepts a target of fair cost. While more than this share
 of the requests get one then, none is refused on arrival."""
+MIN_LAST_CHANCES = 0.5
+"""At least one wait ended without a good target in the last 1.4 s; else waits are not in vain."""
 DEFAULT_RETRY_AFTER_MS = 200.0
 RETRY_SHARE = 0.3
 """Callers wait up to a third of the time they have left; the rest is for the way to them."""
@@ -72,7 +74,7 @@
         The result is 0 without recent evidence, and while the ends of waits are not in vain.
         """
         self._advance(now_ms)
-        if not self._has_evidence or self._last_served > self._last_chances * MAX_LAST_CHANCE:
+        if not (self._has_evidence and self._is_end_in_vain):
             return 0.0
         likely_assigned = self._assigned + 2.0 * sqrt(self._assigned) + 2.0
         return ahead * self._busy_ms / likely_assigned
@@ -99,6 +101,12 @@
     def _has_evidence(self) -> bool:
         return self._assigned >= MIN_ASSIGNED and self._busy_ms >= MIN_BUSY_MS
 
+    @property
+    def _is_end_in_vain(self) -> bool:
+        if self._last_chances < MIN_LAST_CHANCES:
+            return False
+        return self._last_served <= self._last_chances * MAX_LAST_CHANCE
+
     def _advance(self, now_ms: float) -> None:
         elapsed_ms = max(0.0, now_ms - self._updated_ms)
         self._updated_ms = max(now_ms, self._updated_ms)
--- a/testing/features/queue_order.feature
+++ b/testing/features/queue_order.feature
@@ -37,6 +37,7 @@
       | a sixth of the targets slow         | 8      | 2     | 0.06  | at least 1 |
       | a start, without evidence           | 0      | 4     | 0.0   | none       |
       | targets of fair cost are left       | fair   | 4     | 0.0   | none       |
+      | demand in waves, no wait in vain    | enough | 4     | 0.0   | none       |
 
   Scenario: Pattern "clients that retry 3 times": refused callers come back at the rate of the targets
     When 40 callers with 30 s are refused within a moment at a rate of 5 targets a second
--- a/testing/features/steps/wait_forecast_steps.py
+++ b/testing/features/steps/wait_forecast_steps.py
@@ -23,7 +23,7 @@
     for _ in range(300):
         forecast, clock_ms = WaitForecast(rng), 0.0
         forecast.on_length(1, now_ms=0.0)
-        per_s = 8 if before == "fair" else int(before)
+        per_s = int(before) if before.isdigit() else 8
         for rate, until_ms in ((per_s, 3_000.0), (per_s and after, 5_000.0)):
             while rate:
                 step_ms = rng.expovariate(rate / 1_000.0)
@@ -32,7 +32,8 @@
                 clock_ms += step_ms
                 forecast.on_assigned(now_ms=clock_ms)
             clock_ms = until_ms
-        forecast.on_wait_ended(is_served=before == "fair", now_ms=clock_ms)
+        if before != "enough":
+            forecast.on_wait_ended(is_served=before == "fair", now_ms=clock_ms)
         for ahead in range(1, 9):
             if forecast.min_wait_ms(ahead, now_ms=clock_ms) > LIMIT_MS:
                 waits_ms = sum(rng.expovariate(after / 1_000.0) for _ in range(ahead + 1))
@@ -59,6 +60,7 @@
     forecast.on_length(1, now_ms=until_ms - 3_000.0)
     for number in range(3 * per_s):
         forecast.on_assigned(now_ms=until_ms - 3_000.0 + number * 1_000.0 / per_s)
+    forecast.on_wait_ended(is_served=False, now_ms=until_ms)
     forecast.on_length(0, now_ms=until_ms)
     return forecast
 
