Let a test of hedges add a waiting request to the order that replaced the list

Cause: the scenario that holds hedges back while requests wait wrote into the list of the wait queue, which the order of waiting requests has replaced. Change: it adds a request to that order. The check is the same. Result: hedging.feature passes.

--- a/testing/features/steps/hedging_gateway_steps.py
+++ b/testing/features/steps/hedging_gateway_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from math import inf
 from random import Random
 
 import curio
@@ -41,10 +42,12 @@
             while not fixture.targets[0].received:
                 await curio.sleep(0.001)
             # Until the slow target has responded, so that the hedge finds no later moment either.
-            waiting = fixture.gateway.wait_queue("s")._waiting
-            waiting.append(None)
+            order = fixture.gateway.wait_queue("s")._order
+            waiting = order.add(
+                None, priority=0, customer=None, received_ms=now_ms(), late_at_ms=inf
+            )
             await curio.sleep(0.4)
-            waiting.clear()
+            order.remove(waiting)
 
         await curio.spawn(add_after_send, daemon=True)
 
