Read rollout orders, their phases and the version of targets

Cause: the store orders rollouts under op/rollout/SERVICE and targets register their version, and entries read neither.

Change: orders and phases become changes of the catalog that readers relay,

a repeated one starts anew. A final phase that an entry has seen stays in force when the store returns from an older copy.

--- a/src/kingcupusher/_discovery/__init__.py
+++ b/src/kingcupusher/_discovery/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from kingcupusher._discovery.catalog import Catalog, Target
+from kingcupusher._discovery.catalog import Catalog
 from kingcupusher._discovery.change_source import (
     ChangeBatch,
     ChangeSource,
@@ -16,6 +16,10 @@
     CrashWithdrawn,
     ReaderGone,
     ReaderSeen,
+    RolloutOrdered,
+    RolloutPhaseGone,
+    RolloutPhaseSeen,
+    RolloutWithdrawn,
     RoutesPublished,
     StoreReturned,
     TargetGone,
@@ -29,6 +33,9 @@
 from kingcupusher._discovery.model import (
     CallerLimits,
     Customer,
+    RolloutOrder,
+    RolloutPhase,
+    RolloutState,
     Route,
     RouteTable,
     ServiceConfig,
@@ -36,6 +43,13 @@
     WeightedService,
 )
 from kingcupusher._discovery.position import NO_POSITION, StorePosition
+from kingcupusher._discovery.rollout_states import (
+    Rollout,
+    RolloutStates,
+    rejected_before,
+    repeats_completed,
+)
+from kingcupusher._discovery.target import Target
 
 __all__ = [
     "NO_POSITION",
@@ -50,6 +64,15 @@
     "StorePosition",
     "ReaderGone",
     "ReaderSeen",
+    "Rollout",
+    "RolloutOrder",
+    "RolloutOrdered",
+    "RolloutPhase",
+    "RolloutPhaseGone",
+    "RolloutPhaseSeen",
+    "RolloutState",
+    "RolloutStates",
+    "RolloutWithdrawn",
     "Route",
     "RouteTable",
     "RoutesPublished",
@@ -68,4 +91,6 @@
     "ZoneReturned",
     "ZoneTakenOut",
     "key_digest",
+    "rejected_before",
+    "repeats_completed",
 ]
--- a/src/kingcupusher/_discovery/catalog.py
+++ b/src/kingcupusher/_discovery/catalog.py
@@ -27,6 +27,8 @@
     ServiceConfig,
     TargetRegistration,
 )
+from kingcupusher._discovery.rollout_states import RolloutStates
+from kingcupusher._discovery.target import Target
 from kingcupusher._discovery.weighted_round_robin import WeightedRoundRobin
 from kingcupusher._limits.announcements import TargetAnnouncements
 from kingcupusher._limits.crash_quarantine import CrashQuarantine
@@ -35,22 +37,6 @@
 """Registrations that lapsed during a store outage are renewed within 2 s of its end."""
 
 
-class Target:
-    """A registered target; ``removal_ms`` is when it is removed after its registration lapsed."""
-
-    __slots__ = ("record", "removal_ms", "warm_at_ms")
-
-    def __init__(self, record: TargetRegistration, *, now_ms: float) -> None:
-        self.record = record
-        self.warm_at_ms = now_ms + record.cold_left_ms
-        self.removal_ms: float | None = None
-
-    @property
-    def target_id(self) -> str:
-        """Id of the target."""
-        return self.record.target_id
-
-
 _CHANGE_HANDLERS: Registry[Callable[[Catalog, Change, float], None]] = Registry("change")
 
 
@@ -67,6 +53,7 @@
         "listeners",
         "live_entries",
         "readers",
+        "rollouts",
         "route_table",
         "targets",
         "zones_out",
@@ -83,6 +70,7 @@
         self.live_entries = LiveEntries()
         self.announcements = TargetAnnouncements(Random())
         self.crashes = CrashQuarantine()
+        self.rollouts = RolloutStates(self._notify_listeners)
         self._grace_end_ms = 0.0
         self._round_robins: dict[tuple[str, tuple[object, ...]], WeightedRoundRobin] = {}
 
@@ -105,6 +93,7 @@
         missing: list[Change] = [TargetGone(i) for i in self.targets if i not in seen]
         missing += [ZoneReturned(zone) for zone in self.zones_out if zone not in out]
         missing += [ReaderGone(slot) for slot in self.readers if slot not in slots]
+        missing += self.rollouts.missing_from(changes)
         self.apply(missing + changes, now_ms=now_ms)
 
     def remove_lapsed_targets(self, *, now_ms: float) -> None:
@@ -166,7 +155,7 @@
         changes += [TargetSeen(target.record) for target in self.targets.values()]
         changes += [ZoneTakenOut(zone) for zone in sorted(self.zones_out)]
         changes += [CrashSeen(fingerprint, t) for fingerprint, t in self.crashes.snapshot()]
-        return changes + list(self.readers.values())
+        return changes + self.rollouts.snapshot() + list(self.readers.values())
 
     # -- details
 
@@ -287,6 +276,13 @@
         assert isinstance(change, CrashWithdrawn)
         self.crashes.forget(change.fingerprint, change.target_id)
 
+    @_CHANGE_HANDLERS.register("RolloutOrdered")
+    @_CHANGE_HANDLERS.register("RolloutWithdrawn")
+    @_CHANGE_HANDLERS.register("RolloutPhaseSeen")
+    @_CHANGE_HANDLERS.register("RolloutPhaseGone")
+    def _on_rollout(self, change: Change, now_ms: float) -> None:
+        self.rollouts.apply(change, now_ms=now_ms)
+
     @_CHANGE_HANDLERS.register("StoreReturned")
     def _on_store_return(self, change: Change, now_ms: float) -> None:  # noqa: ARG002
         self._grace_end_ms = now_ms + REREGISTRATION_GRACE_MS
--- a/src/kingcupusher/_discovery/changes.py
+++ b/src/kingcupusher/_discovery/changes.py
@@ -5,7 +5,7 @@
 from msgspec import Struct
 
 from kingcupusher._core.address import Address
-from kingcupusher._discovery.model import RouteTable, TargetRegistration
+from kingcupusher._discovery.model import RolloutOrder, RolloutState, RouteTable, TargetRegistration
 
 
 class RoutesPublished(Struct, frozen=True, tag=True):
@@ -75,6 +75,30 @@
     target_id: str
 
 
+class RolloutOrdered(Struct, frozen=True, tag=True):
+    """An operator ordered the rollout of a version."""
+
+    order: RolloutOrder
+
+
+class RolloutWithdrawn(Struct, frozen=True, tag=True):
+    """The order for ``service`` was removed."""
+
+    service: str
+
+
+class RolloutPhaseSeen(Struct, frozen=True, tag=True):
+    """A lead wrote the phase of a rollout."""
+
+    state: RolloutState
+
+
+class RolloutPhaseGone(Struct, frozen=True, tag=True):
+    """The phase of the rollout of ``service`` was removed."""
+
+    service: str
+
+
 Change = (
     RoutesPublished
     | TargetSeen
@@ -86,4 +110,8 @@
     | StoreReturned
     | CrashSeen
     | CrashWithdrawn
+    | RolloutOrdered
+    | RolloutWithdrawn
+    | RolloutPhaseSeen
+    | RolloutPhaseGone
 )
--- a/src/kingcupusher/_discovery/model.py
+++ b/src/kingcupusher/_discovery/model.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from enum import Enum
+
 from msgspec import Struct
 
 from kingcupusher._core.address import Address
@@ -97,8 +99,52 @@
     is_draining: bool
     cold_left_ms: float
     born_unix_ms: int
+    version: str = ""
 
     @property
     def instance(self) -> TargetInstance:
         """The process that registered itself."""
         return TargetInstance(self.target_id, self.born_unix_ms)
+
+
+class RolloutPhase(Enum):
+    """Phase of a rollout; the values are written to the store."""
+
+    TRIAL = "trial"
+    SHIFT = "shift"
+    COMPLETED = "completed"
+    ROLLED_BACK = "rolled_back"
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the rollout has ended."""
+        return self in (RolloutPhase.COMPLETED, RolloutPhase.ROLLED_BACK)
+
+
+class RolloutOrder(Struct, frozen=True, kw_only=True):
+    """An order to move the requests of ``service`` to targets of ``target_version``.
+
+    ``revision`` is that of its item in the store. It identifies the order, since a repeated order
+    has the same content.
+    """
+
+    service: str
+    target_version: str
+    duration_ms: float
+    revision: int
+
+
+class RolloutState(Struct, frozen=True, kw_only=True):
+    """The phase of the rollout that the order with ``order_revision`` began, as stored.
+
+    ``order_age_ms`` is how old the order was when the state was written. ``rejected`` are versions
+    of earlier orders that were rolled back. ``revision`` is that of the item in the store.
+    """
+
+    service: str
+    target_version: str
+    order_revision: int
+    phase: RolloutPhase
+    order_age_ms: float = 0.0
+    rejected: tuple[str, ...] = ()
+    revision: int = 0
