Decide on rollouts at the lead, and choose targets by version

Cause: an order to roll out a version had no effect; requests went to targets of all versions alike.

Change: each request draws a number by which it may go to the old version or to a few canaries of the new one. Entries report responses by route and version to the lead, which judges them by a sequential probability ratio test over all responses and over the last 0.75, 1.5 and 3 s, and writes the phases trial, shift, completed and rolled back by compare-and-swap. Retries, hedges and requests that wait never raise the share of the new version.

--- a/src/kingcupusher/_gateway/exchange.py
+++ b/src/kingcupusher/_gateway/exchange.py
@@ -221,6 +221,7 @@
         self._search.exclude(target_id)
         self._possibly_executed_by.add(target_id)
         self._attempts.append(attempt)
+        self._gateway.rollouts.on_send(attempt, is_first=len(self._attempts) == 1)
         await self._in_flight.start(attempt, deadline_ms=self._deadline_ms)
 
     async def _record_result(self, result: AttemptResult) -> None:
@@ -237,6 +238,7 @@
             self._possibly_executed_by.discard(result.attempt.probed.target.target_id)
         elif result.outcome is AttemptOutcome.FAILURE:
             self._fallback_response = result.response
+        self._gateway.rollouts.on_result(self._route.name, result)
         self._log.record_attempt(result)
 
     async def _next_target(self, *, reserve: int = 0, max_cost: float = inf) -> ProbedTarget | None:
@@ -281,7 +283,9 @@
         """Log the attempts in flight, which are abandoned without a response."""
         for attempt in self._in_flight.running:
             attempt.ended_ms = now_ms()
-            self._log.record_attempt(AttemptResult(attempt, outcome, reason=reason))
+            result = AttemptResult(attempt, outcome, reason=reason)
+            self._gateway.rollouts.on_result(self._route.name if self._route else "", result)
+            self._log.record_attempt(result)
 
     def _log_end(self, status: int, outcome: str) -> None:
         table = self._gateway.catalog.route_table
--- a/src/kingcupusher/_gateway/process.py
+++ b/src/kingcupusher/_gateway/process.py
@@ -7,16 +7,16 @@
 import traceback
 from collections.abc import Awaitable, Callable
 from random import Random
-from typing import Protocol
 
 import curio
 
 from kingcupusher._core import now_ms
 from kingcupusher._core.signal_event import SignalEvent
-from kingcupusher._discovery import NO_POSITION, Catalog, ChangeSource, StoreFollower
-from kingcupusher._gateway.crash_reports import CrashStore
+from kingcupusher._discovery import NO_POSITION, Catalog, StoreFollower
 from kingcupusher._gateway.exchange import Exchange
 from kingcupusher._gateway.header_codec import HeaderCodec
+from kingcupusher._gateway.platform_store import PlatformStore
+from kingcupusher._gateway.rollouts import Rollouts
 from kingcupusher._gateway.settings import GatewaySettings
 from kingcupusher._gateway.state import GatewayState
 from kingcupusher._http.caller_request import CallerRequest
@@ -33,7 +33,6 @@
     LeadLink,
     LeadServer,
     ReaderSlot,
-    ReaderSlotStore,
     RelayServer,
     Subscriptions,
 )
@@ -45,14 +44,6 @@
 MAX_TRACEBACK_CHARS = 2_000
 
 
-class PlatformStore(ChangeSource, ReaderSlotStore, CrashStore, Protocol):
-    """Operations of the platform's store that an entry uses."""
-
-    @property
-    def call_count(self) -> int:
-        """Number of calls since the start."""
-
-
 SettingsLoader = Callable[[], GatewaySettings]
 
 
@@ -93,6 +84,7 @@
         "_reader_slot",
         "_relay",
         "_reload_settings",
+        "_rollouts",
         "_store",
         "_subscriptions",
     )
@@ -138,6 +130,15 @@
             is_needed=self._is_lead_needed,
             on_event=self._gateway.on_event,
         )
+        self._rollouts = Rollouts(
+            catalog,
+            self._gateway.rollouts,
+            self._lead_link,
+            self._lead_server,
+            store,
+            on_event=self._gateway.on_event,
+            rng=Random(),
+        )
         self._relay = RelayServer(
             settings.relay_address,
             self._follower,
@@ -185,6 +186,8 @@
             self._run_metrics_server,
             self._run_maintenance,
             self._gateway.crash_reports.run,
+            self._rollouts.run_reports,
+            self._rollouts.run_lead,
             self._reload_on_sighup,
         ):
             await curio.spawn(self._run_supervised, task, daemon=True)
@@ -235,9 +238,10 @@
             self._log.event("requests cut", reason=reason.value, unanswered=unanswered)
 
     def _is_lead_needed(self) -> bool:
-        """Return whether a part of the configuration in force is decided for the whole fleet."""
-        table = self._gateway.catalog.route_table
-        return table is not None and any(customer.has_quota for customer in table.customers)
+        """Return whether a quota or a rollout is decided for the whole fleet now."""
+        catalog = self._gateway.catalog
+        customers = catalog.route_table.customers if catalog.route_table else ()
+        return any(c.has_quota for c in customers) or catalog.rollouts.needs_lead
 
     async def _run_readiness_server(self) -> None:
         await serve(self._gateway.settings.readiness_address, self._handle_readiness)
@@ -255,14 +259,18 @@
     def _gauges(self) -> dict[tuple[str, Labels], float]:
         current_ms = now_ms()
         position = self._follower.position or NO_POSITION
-        return self._gateway.gauges(now_ms=current_ms) | {
-            ("news_age_ms", ()): current_ms - self._follower.confirmed_ms,
-            ("store_restorations", ()): position.restorations,
-            ("store_revision", ()): position.revision,
-            ("is_reader", ()): float(self._reader_slot.is_held),
-            ("is_ready", ()): float(self.is_ready),
-            ("store_calls_total", ()): self._store.call_count,
-        }
+        return (
+            self._gateway.gauges(now_ms=current_ms)
+            | self._rollouts.gauges()
+            | {
+                ("news_age_ms", ()): current_ms - self._follower.confirmed_ms,
+                ("store_restorations", ()): position.restorations,
+                ("store_revision", ()): position.revision,
+                ("is_reader", ()): float(self._reader_slot.is_held),
+                ("is_ready", ()): float(self.is_ready),
+                ("store_calls_total", ()): self._store.call_count,
+            }
+        )
 
     async def _handle_readiness(self, request: Request) -> Response:  # noqa: ARG002
         return Response(200 if self.is_ready else 503, [], b"")
--- /dev/null
+++ b/src/kingcupusher/_gateway/rollout_traffic.py
@@ -0,0 +1,127 @@
+"""Requests of an entry during a rollout: which version they may go to, and what became of them."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from random import Random
+
+from kingcupusher._core import now_ms as monotonic_ms
+from kingcupusher._discovery import Catalog, Rollout, RolloutOrder, Target
+from kingcupusher._gateway.attempt import Attempt, AttemptOutcome, AttemptResult
+from kingcupusher._limits.rollout_ledger import EntryCounts, RouteOutcomes
+from kingcupusher._observe.metrics_registry import Metrics, labels
+from kingcupusher._routing.version_choice import VersionRule, choose_targets
+
+DEADLINE_REASON = "no response in time"
+"""Reason of an attempt that its target did not answer before the deadline of the request."""
+IS_FAILURE_BY_OUTCOME = {
+    AttemptOutcome.SUCCESS: False,
+    AttemptOutcome.FAILURE: True,
+    AttemptOutcome.BROKEN: True,
+    AttemptOutcome.SUPERSEDED: False,
+}
+"""Outcomes that tell about a version. A superseded attempt would have taken longer still."""
+NO_DRAW = 0.0
+
+
+class RolloutTraffic:
+    """Applies the rollouts in force to the requests of this entry, and counts their responses."""
+
+    __slots__ = ("_catalog", "_counts", "_has_old", "_metrics", "_rng")
+
+    def __init__(self, catalog: Catalog, metrics: Metrics, *, rng: Random) -> None:
+        self._catalog = catalog
+        self._metrics = metrics
+        self._rng = rng
+        self._counts: dict[str, tuple[int, EntryCounts]] = {}
+        self._has_old: set[tuple[str, int]] = set()
+
+    # -- choice
+
+    def draw(self, service: str) -> float:
+        """Return the number of a new request, by which its version is chosen."""
+        return self._rng.random() if self._catalog.rollouts.in_force(service) else NO_DRAW
+
+    def allowed(self, service: str, targets: Sequence[Target], draw: float) -> Sequence[Target]:
+        """Return those of the usable ``targets`` that the request may go to."""
+        rollout = self._catalog.rollouts.in_force(service)
+        if rollout is None:
+            return targets
+        current_ms = monotonic_ms()
+        rule = VersionRule(
+            service=service,
+            target_version=rollout.target_version,
+            phase=rollout.phase,
+            phase_age_ms=current_ms - rollout.phase_seen_ms,
+            rejected=rollout.rejected,
+            has_old=self.has_old(rollout),
+            has_new=self.has_new(rollout),
+        )
+        return choose_targets(targets, rule, draw=draw, now_ms=current_ms)
+
+    def has_old(self, rollout: Rollout) -> bool:
+        """Return whether a target of another version was registered since the order."""
+        key = (rollout.service, rollout.order_revision)
+        if key not in self._has_old and any(
+            t.version not in (rollout.target_version, *rollout.rejected)
+            for t in self._catalog.targets.values()
+            if t.record.service == rollout.service
+        ):
+            self._has_old.add(key)
+        return key in self._has_old
+
+    def has_new(self, rollout: Rollout) -> bool:
+        """Return whether a target of the ordered version is registered."""
+        return any(
+            t.version == rollout.target_version
+            for t in self._catalog.targets.values()
+            if t.record.service == rollout.service
+        )
+
+    # -- counts
+
+    def on_send(self, attempt: Attempt, *, is_first: bool) -> None:
+        """Count a request that is sent to a target, the first time or again."""
+        target = attempt.probed.target
+        service = target.record.service
+        order = self._active_order(service)
+        if order is None:
+            return
+        counts = self.counts_since(order)
+        is_new = target.version == order.target_version
+        counts.requests += is_first
+        counts.exposed += is_new
+        key = labels(service=service, version="new" if is_new else "old")
+        self._metrics.count("rollout_sends_total", key)
+
+    def on_result(self, route: str, result: AttemptResult) -> None:
+        """Count what an attempt tells about the version of its target."""
+        attempt = result.attempt
+        order = self._active_order(attempt.probed.target.record.service)
+        if order is None or not result.was_sent:
+            return
+        is_failure = IS_FAILURE_BY_OUTCOME.get(result.outcome)
+        if result.outcome is AttemptOutcome.UNANSWERED and result.reason == DEADLINE_REASON:
+            is_failure = True
+        if is_failure is None:
+            return
+        routes = self.counts_since(order).routes
+        outcomes = routes.get(route)
+        if outcomes is None:
+            outcomes = routes[route] = RouteOutcomes()
+        is_new = attempt.probed.target.version == order.target_version
+        (outcomes.new if is_new else outcomes.old).add(
+            attempt.ended_ms - attempt.sent_ms, is_failure=is_failure
+        )
+
+    def counts_since(self, order: RolloutOrder) -> EntryCounts:
+        """Return the counts since this entry learned of ``order``."""
+        known = self._counts.get(order.service)
+        if known is None or known[0] != order.revision:
+            known = self._counts[order.service] = (order.revision, EntryCounts())
+        return known[1]
+
+    def _active_order(self, service: str) -> RolloutOrder | None:
+        rollouts = self._catalog.rollouts
+        order = rollouts.orders.get(service)
+        return None if order is None or rollouts.final_of(order) is not None else order
--- a/src/kingcupusher/_gateway/selector.py
+++ b/src/kingcupusher/_gateway/selector.py
@@ -12,6 +12,7 @@
 from kingcupusher._gateway.load_probe import LoadProber, ProbedTarget
 from kingcupusher._gateway.probe_allowance import BURST_S, ProbeAllowance
 from kingcupusher._gateway.request_quotas import RequestQuotas
+from kingcupusher._gateway.rollout_traffic import RolloutTraffic
 from kingcupusher._gateway.target_clients import TargetClient, TargetClients
 from kingcupusher._limits import connection_share
 from kingcupusher._routing.acceptance import MAX_FAIR_COST, MAX_GOOD_COST, AcceptanceCriteria
@@ -76,6 +77,7 @@
         "_entry",
         "_prober",
         "_rng",
+        "_rollouts",
         "_zone",
         "quotas",
     )
@@ -89,6 +91,7 @@
         entry: str,
         zone: str,
         fleet_limits: FleetLimits,
+        rollouts: RolloutTraffic,
         rng: Random,
     ) -> None:
         self._catalog = catalog
@@ -97,6 +100,7 @@
         self._entry = entry
         self._zone = zone
         self._rng = rng
+        self._rollouts = rollouts
         self._allowance = ProbeAllowance(
             probes_per_s=fleet_limits.probes_per_s, near_count=2 * NEAR_COUNT
         )
@@ -110,14 +114,16 @@
         *,
         exclude: Collection[str],
         deadline_ms: float,
+        draw: float,
         count: int = PROBE_COUNT,
     ) -> ProbeResults:
         """Probe ``count`` targets, and further ones if none of them is good.
 
         While probes are scarce, recent readings are used first, and probes only if none is good.
+        During a rollout, ``draw`` decides on the version of the targets.
         """
         started_ms = now_ms()
-        order = self._probe_order(service, exclude)
+        order = self._probe_order(service, exclude, draw)
         results: list[ProbedTarget] = []
         probed_count = 0
         try:
@@ -181,7 +187,9 @@
     def _is_suspended(self, target: Target) -> bool:
         return self._clients.get(target).is_suspended(now_ms=now_ms())
 
-    def _probe_order(self, service: ServiceConfig, exclude: Collection[str]) -> Sequence[Target]:
+    def _probe_order(
+        self, service: ServiceConfig, exclude: Collection[str], draw: float
+    ) -> Sequence[Target]:
         current_ms = now_ms()
         entries = self._catalog.live_entries.count(now_ms=current_ms)
         targets = self._catalog.usable_targets(service.name)
@@ -190,7 +198,7 @@
         )
         connections = self._connections_per_target(service, entries)
         candidates = []
-        for target in targets:
+        for target in self._rollouts.allowed(service.name, targets, draw):
             if target.target_id in exclude:
                 continue
             client = self._clients.get(target)
--- a/src/kingcupusher/_gateway/state.py
+++ b/src/kingcupusher/_gateway/state.py
@@ -11,6 +11,7 @@
 from kingcupusher._gateway.drain import Drain
 from kingcupusher._gateway.header_codec import HeaderCodec
 from kingcupusher._gateway.load_probe import LoadProber
+from kingcupusher._gateway.rollout_traffic import RolloutTraffic
 from kingcupusher._gateway.selector import TargetSelector
 from kingcupusher._gateway.settings import GatewaySettings
 from kingcupusher._gateway.target_clients import TargetClients
@@ -31,6 +32,7 @@
         "_response_times",
         "crash_reports",
         "drain",
+        "rollouts",
         "response_budget",
         "catalog",
         "header_codec",
@@ -61,6 +63,7 @@
         )
         self.response_budget = ResponseBudget(settings.response_memory_bytes)
         self.prober = LoadProber(self.target_clients, header_codec, budget=self.response_budget)
+        self.rollouts = RolloutTraffic(catalog, self.metrics, rng=Random())
         self.selector = TargetSelector(
             catalog,
             self.target_clients,
@@ -68,6 +71,7 @@
             entry=settings.entry,
             zone=settings.zone,
             fleet_limits=settings.fleet_limits,
+            rollouts=self.rollouts,
             rng=Random(),
         )
         self._retry_budgets: dict[str, WindowedRetryBudget] = {}
--- a/src/kingcupusher/_gateway/target_search.py
+++ b/src/kingcupusher/_gateway/target_search.py
@@ -17,6 +17,7 @@
 from kingcupusher._gateway.state import GatewayState
 from kingcupusher._gateway.wait_queue import WaitingRequest
 from kingcupusher._routing.acceptance import AcceptanceCriteria
+from kingcupusher._routing.version_choice import OLD_VERSION_DRAW
 
 
 class TargetSearch:
@@ -24,6 +25,7 @@
 
     __slots__ = (
         "_deadline_ms",
+        "_draw",
         "_gateway",
         "_log",
         "_priority",
@@ -52,6 +54,7 @@
         self._priority = priority
         self._received_ms = received_ms
         self._deadline_ms = deadline_ms
+        self._draw = gateway.rollouts.draw(service.name)
         self._tried_targets: set[str] = set()
         self.refusal: ErrorResponse = NO_TARGET
 
@@ -117,8 +120,12 @@
         """Probe targets and return the best; with ``criteria``, only if it is acceptable."""
         selector = self._gateway.selector
         results = await selector.probe_targets(
-            self._service, exclude=self._tried_targets, deadline_ms=self._deadline_ms
+            self._service,
+            exclude=self._tried_targets,
+            deadline_ms=self._deadline_ms,
+            draw=self._draw,
         )
+        self._draw = OLD_VERSION_DRAW
         best = selector.claim_first(
             results.usable, self._service, criteria=criteria, is_last=is_last
         )
--- /dev/null
+++ b/src/kingcupusher/_limits/rollout_phases.py
@@ -0,0 +1,98 @@
+"""When a rollout goes from one phase to the next."""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from kingcupusher._discovery.model import RolloutPhase
+from kingcupusher._limits.rollout_verdict import Verdict
+
+SHIFT_MS = 3_000.0
+"""At the end of the shift the old targets stop without draining. Entries learn of the shift up to
+2 s after its write, mostly within 0.5 s, move all requests within 0.8 s and finish the old ones."""
+WRITE_MARGIN_MS = 400.0
+"""A write takes 4 ms, 200 ms while the store is slow."""
+EARLY_SHIFT_MS = 300.0
+LATE_SHIFT_MS = 500.0
+"""The shift begins at most this much earlier or later than planned. Before, more evidence is
+better: a fault that begins late costs a tenth if it is found in the trial."""
+EXPOSURE_SHARE = 0.1
+EXPOSURE_SLACK = 50.0
+DETECTION_MS = 1_500.0
+"""Requests are exposed for this time between a report and the effect of a rollback: the reports of
+1 s, the write, and the reader's pause of 0.4 s between two reads."""
+MIN_AGE_WITHOUT_OLD_MS = 3_000.0
+"""Registrations of old targets that this entry does not know yet would have arrived by then."""
+
+
+class Evidence(Struct, frozen=True, kw_only=True):
+    """What a lead knows when it decides.
+
+    ``has_majority`` is whether at least half of the known entries are linked to this lead. Of two
+    leads, only one may move requests to the new version, and both may roll it back.
+    """
+
+    verdict: Verdict
+    requests: int
+    exposed: int
+    order_age_ms: float
+    phase_age_ms: float
+    duration_ms: float
+    has_majority: bool
+    has_old: bool = True
+    has_new: bool = True
+
+    @property
+    def planned_shift_ms(self) -> float:
+        """Age of the order at which the shift is due to be completed in time."""
+        return self.duration_ms - SHIFT_MS - WRITE_MARGIN_MS
+
+    @property
+    def is_exposure_used_up(self) -> bool:
+        """Whether a rollback in the shift would only just keep the bound for a bad version."""
+        per_ms = self.requests / max(self.order_age_ms, 1.0)
+        remaining_ms = max(0.0, self.duration_ms - self.order_age_ms)
+        expected = self.requests + per_ms * remaining_ms
+        return self.exposed + per_ms * DETECTION_MS > EXPOSURE_SHARE * expected + EXPOSURE_SLACK
+
+
+class Decision(Struct, frozen=True):
+    """The next phase, and the reason that the log gives."""
+
+    phase: RolloutPhase
+    reason: str
+
+
+def decide(phase: RolloutPhase, evidence: Evidence) -> Decision | None:
+    """Return the next phase, or None if ``phase`` lasts."""
+    if phase.is_final:
+        return None
+    if evidence.verdict is Verdict.BAD:
+        return Decision(RolloutPhase.ROLLED_BACK, "the new version is bad")
+    if phase is RolloutPhase.TRIAL:
+        return _after_trial(evidence)
+    if evidence.verdict is Verdict.SUSPECT and evidence.is_exposure_used_up:
+        return Decision(RolloutPhase.ROLLED_BACK, "the new version may be bad and got enough")
+    return _after_shift(evidence)
+
+
+def _after_trial(evidence: Evidence) -> Decision | None:
+    age_ms, planned_ms = evidence.order_age_ms, evidence.planned_shift_ms
+    if not evidence.has_old and evidence.has_new and age_ms >= MIN_AGE_WITHOUT_OLD_MS:
+        return Decision(RolloutPhase.COMPLETED, "no target runs another version")
+    is_time = planned_ms - EARLY_SHIFT_MS <= age_ms <= planned_ms + LATE_SHIFT_MS
+    if evidence.verdict is Verdict.GOOD and evidence.has_majority and is_time:
+        return Decision(RolloutPhase.SHIFT, "the new version is good")
+    if age_ms > planned_ms + LATE_SHIFT_MS:
+        return Decision(RolloutPhase.ROLLED_BACK, "the evidence is not enough")
+    return None
+
+
+def _after_shift(evidence: Evidence) -> Decision | None:
+    if evidence.phase_age_ms < SHIFT_MS:
+        return None
+    if evidence.verdict is Verdict.GOOD and evidence.has_majority:
+        return Decision(RolloutPhase.COMPLETED, "the new version is good")
+    if evidence.order_age_ms >= evidence.duration_ms - WRITE_MARGIN_MS:
+        return Decision(RolloutPhase.ROLLED_BACK, "the evidence is not enough")
+    return None
--- a/src/kingcupusher/_observe/metrics_registry.py
+++ b/src/kingcupusher/_observe/metrics_registry.py
@@ -39,6 +39,8 @@
     "is_reader": "Whether this entry follows the store for others.",
     "is_ready": "Whether the balancer should send connections here.",
     "log_lines_dropped_total": "Log lines that the reader of the log did not take.",
+    "rollout_sends_total": "Sends to targets of a service in a rollout, by version (new or old).",
+    "rollouts": "Rollouts by service and phase.",
     "request_ms": "Time from a request's first byte to its response.",
     "send_ms": "Time from a send to its end.",
 }
--- a/src/kingcupusher/_relay/messages.py
+++ b/src/kingcupusher/_relay/messages.py
@@ -13,6 +13,7 @@
 from msgspec import Struct
 
 from kingcupusher._discovery import Change, StorePosition
+from kingcupusher._limits.rollout_ledger import EntryCounts
 from kingcupusher._peers import codec
 from kingcupusher._peers.errors import MessageError
 
@@ -69,7 +70,20 @@
     """Shows that the link works; the reply is the same message."""
 
 
-LeadMessage = LeadPing
+class RolloutReport(Struct, array_like=True, frozen=True, tag=11):
+    """What an entry counted since the order of a rollout that is identified by its revision.
+
+    ``run`` differs after a restart of the entry, which counts from 0 again.
+    """
+
+    service: str
+    order_revision: int
+    order_age_ms: int
+    run: int
+    counts: EntryCounts
+
+
+LeadMessage = LeadPing | RolloutReport
 
 
 class LeadCall(Struct, array_like=True, frozen=True, tag=7):
--- /dev/null
+++ b/testing/features/rollouts.feature
@@ -0,0 +1,139 @@
+Feature: A version is rolled out, or rolled back if it is bad
+
+  Scenario Outline: An order that cannot be read is skipped with a log line: <order>
+    Guards against an entry that fails, or that follows half an order.
+    Then the item "op/rollout/s" with <order> gives no change and a log line
+
+    Examples:
+      | order                                                      |
+      | {"service":"s","targetVersion":"v2"                        |
+      | {"service":"s","durationS":12}                             |
+      | {"service":"s","targetVersion":"","durationS":12}          |
+      | {"service":"s","targetVersion":2,"durationS":12}           |
+      | {"service":"s","targetVersion":"v2"}                       |
+      | {"service":"s","targetVersion":"v2","durationS":0}         |
+      | {"service":"s","targetVersion":"v2","durationS":true}      |
+      | {"service":"t","targetVersion":"v2","durationS":12}        |
+      | []                                                         |
+
+  Scenario: Orders, phases and versions are read, and relayed to entries without a state
+    Guards against readers that drop them from snapshots, and entries that keep removed ones.
+    Then an order, its phase and the version of a target reach another entry in a snapshot
+    And a snapshot without them removes them
+    And a registration without a version has the empty one
+
+  Scenario: A phase and its status are written together, on condition of the phase and the order
+    Guards against two leads that overwrite each other, and a status that the platform cannot read.
+    Then a write expects the revisions of the phase and the order, and a conflict is reported
+    And the status has exactly a state and a target version for each phase
+
+  Scenario Outline: <phase>: a request with the number <draw> may go to <allowed>
+    Guards against requests on a version that no order allows.
+    Given 30 old targets, and new targets that are <new>
+    Then in the phase "<phase>" a request with the number <draw> may go to <allowed>
+
+    Examples:
+      | phase       | draw | new      | allowed   |
+      | ordered     | 0.00 | warm     | 30 old    |
+      | trial       | 0.05 | warm     | 2 new     |
+      | trial       | 0.06 | warm     | 30 old    |
+      | trial       | 1.00 | warm     | 30 old    |
+      | trial       | 0.05 | cold     | 30 old    |
+      | trial       | 0.05 | missing  | 30 old    |
+      | shift       | 1.00 | warm     | 30 new    |
+      | shift       | 0.00 | cold     | 30 old    |
+      | completed   | 1.00 | warm     | 30 new    |
+      | completed   | 1.00 | cold     | 30 new    |
+      | rolled_back | 0.00 | warm     | 30 old    |
+
+  Scenario: No old target is left
+    Guards against a share of the new version that grows when old targets fail.
+    Then without usable old targets, 0.06 of the requests of a trial may go to new ones
+    And without registered old targets, all requests may
+    And after a rollback, none may
+
+  Scenario: All entries use the same canaries, for the share of the requests that they can take
+    Guards against canaries with so little load that faults under load stay hidden.
+    Then for any targets, all entries choose the same canaries with the load of an old target
+
+  Scenario Outline: The verdict on <old> against <new> is <verdict>
+    Guards against condemning good versions, and against passing bad ones.
+    Then the verdict on <new> is <verdict> if the old version had <old>
+
+    Examples: responses/failures/slow ones by route
+      | old                    | new                | verdict   |
+      | a 300/3/9              | a 10/0/0           | good      |
+      | a 300/3/9              | a 5/0/0            | undecided |
+      | a 300/3/9              | a 10/5/0           | bad       |
+      | a 300/3/9              | a 10/0/5           | bad       |
+      | a 300/3/9              | a 60/24/0          | bad       |
+      | a 300/60/0             | a 40/8/0           | good      |
+      | a 300/60/0             | a 40/22/0          | bad       |
+      | a 300/0/150            | a 40/0/22          | good      |
+      | a 300/3/9              | a 2/2/0            | undecided |
+      | a 300/3/9, b 100/1/3   | a 20/0/0           | undecided |
+      | a 300/3/9, b 100/1/3   | a 20/0/0, b 8/0/0  | good      |
+      | a 300/3/9, b 100/1/3   | a 40/0/0, b 9/4/0  | bad       |
+
+  Scenario: Faults that begin late are seen although many good responses came before
+    Guards against a verdict on all responses, which takes ten times as many bad ones.
+    Then 15 bad responses after 300 good ones are enough for a verdict
+    And a fleet that is slow for a moment is not
+
+  Scenario: Sums stay right when entries restart, and reports come twice or late
+    Guards against counts that shrink, or that are added up twice.
+    Then for any order of reports, the sums are those of the latest report of each run
+
+  Scenario Outline: A version with <fault> at <per_s> requests a second
+    Guards against more requests of a bad version than allowed, and good ones that never complete.
+    Then of <runs> rollouts, at least <expected> end as <end> within the bounds
+
+    Examples: the bounds are 0.1 of the requests + 50, and 5 s after the 50th bad response
+      | fault                     | per_s | runs | expected | end         |
+      | no fault                  | 44    | 12   | 8        | completed   |
+      | no fault                  | 188   | 6    | 6        | completed   |
+      | failures at once          | 44    | 12   | 12       | rolled_back |
+      | failures at once          | 188   | 6    | 6        | rolled_back |
+      | slow responses at once    | 44    | 12   | 12       | rolled_back |
+      | slow responses at once    | 188   | 6    | 6        | rolled_back |
+      | failures after 6 s        | 44    | 12   | 12       | rolled_back |
+      | failures after 6 s        | 188   | 6    | 6        | rolled_back |
+      | failures on one route     | 44    | 12   | 12       | rolled_back |
+      | failures on one route     | 188   | 6    | 6        | rolled_back |
+
+  Scenario Outline: <phase>: a request whose first choice is <first> is served by <served>
+    Guards against retries that raise the share of the new version.
+    Given a gateway with two old targets, and two new ones that fail
+    Then in the phase "<phase>" requests with the number <draw> get <status> and are sent to <sent>
+
+    Examples:
+      | phase       | draw | first | served  | status | sent                |
+      | trial       | 0.0  | new   | the old | 200    | new once, old once  |
+      | trial       | 0.5  | old   | the old | 200    | old once            |
+      | rolled_back | 0.0  | old   | the old | 200    | old once            |
+      | completed   | 0.5  | new   | nobody  | 500    | new twice           |
+
+  Scenario: A lead that was frozen does not decide on what it knew
+    Guards against a rollback by a lead whose reports are from before it was frozen.
+    Then a lead that made no check for a while writes nothing until its reports are new
+
+  Scenario Outline: Four entries roll out a version that is <quality>, and <event>
+    Guards against rollouts that end with the lead, and against decisions that are lost.
+    Given four entries and a store
+    When a version that is <quality> is ordered, and <event>
+    Then the rollout ends as <end>, and entries send requests only to the <version> version
+
+    Examples:
+      | quality | event                                      | end         | version |
+      | good    | nothing happens                            | completed   | new     |
+      | bad     | nothing happens                            | rolled_back | old     |
+      | good    | the lead is killed in the trial            | completed   | new     |
+      | good    | the lead is killed in the shift            | completed   | new     |
+      | bad     | the lead is killed in the trial            | rolled_back | old     |
+      | good    | the response to each write is lost         | completed   | new     |
+      | bad     | the store returns from a copy of the trial | rolled_back | old     |
+      | good    | the order is withdrawn in the trial        | withdrawn   | any     |
+
+  Scenario: Without an order, entries open no link and send no report
+    Given four entries and a store
+    Then without an order no entry is linked to a lead
--- /dev/null
+++ b/testing/features/steps/rollout_steps.py
@@ -0,0 +1,291 @@
+"""Steps for rollouts: decoding, choices, verdicts and the model of a fleet."""
+
+from __future__ import annotations
+
+import json
+from random import Random
+
+import curio
+from behave import given, then
+from hypothesis import strategies as st
+
+from kingcupusher._discovery import (
+    Catalog,
+    RolloutPhase,
+    RolloutState,
+    StorePosition,
+    TargetSeen,
+)
+from kingcupusher._http.simple_client import Response
+from kingcupusher._http.simple_server import serve
+from kingcupusher._limits.rollout_ledger import EntryCounts, Outcomes, RolloutLedger, RouteOutcomes
+from kingcupusher._limits.rollout_verdict import Verdict, VersionCounts, judge
+from kingcupusher._relay.messages import CatalogUpdate, decode, encode
+from kingcupusher._routing.version_choice import (
+    CANARY_SHARE,
+    RAMP_MS,
+    VersionRule,
+    canaries,
+    choose_targets,
+)
+from kingcupusher_platform.records import decode_item, decode_target
+from kingcupusher_platform.rollout_records import encode_rollout_state, encode_rollout_status
+from kingcupusher_platform.store import StoreClient
+from standins.ports import free_address
+from testing.features.steps.users_platform_steps import REGISTRATION
+from testing.properties import check_property
+from testing.rollout_model import Machine, RolloutModel, Version
+
+ORDER = b'{"service":"s","targetVersion":"v2","durationS":12}'
+NOW_MS = 100_000.0
+USUAL = {"failing": 0.01, "slow": 0.1}
+FAULTS = {
+    "no fault": {},
+    "failures at once": {"faulty": 0.4},
+    "slow responses at once": {"faulty": 0.5, "slowdown": 8.0},
+    "failures after 6 s": {"faulty": 0.4, "from_ms": 6_000.0},
+    "failures on one route": {"faulty": 0.5, "fault_route": "a"},
+}
+
+
+def _state(phase, **fields):
+    return RolloutState(service="s", target_version="v2", order_revision=7, phase=phase, **fields)
+
+
+def _decode(key, value, problems=None, *, revision=7):
+    problems = [] if problems is None else problems
+
+    def on_problem(*args, **fields):
+        problems.append((args, fields))
+
+    return decode_item(key, value, lease=0, revision=revision, on_problem=on_problem)
+
+
+# -- decoding, relaying and writing
+
+
+@then('the item "op/rollout/s" with {order} gives no change and a log line')
+def then_skipped(context, order):
+    problems = []
+    assert _decode("op/rollout/s", order.encode(), problems) is None
+    assert len(problems) == 1, problems
+
+
+def _ordered_catalog():
+    state = _state(RolloutPhase.SHIFT, order_age_ms=9_000.0, rejected=("v0",), revision=9)
+    changes = [
+        _decode("op/rollout/s", ORDER),
+        _decode("kingcupusher/rollouts/s", encode_rollout_state(state), revision=9),
+        TargetSeen(decode_target("t1", json.dumps(REGISTRATION).encode())),
+    ]
+    catalog = Catalog()
+    catalog.apply(changes, now_ms=NOW_MS)
+    assert catalog.rollouts.states["s"] == state
+    return catalog
+
+
+@then("an order, its phase and the version of a target reach another entry in a snapshot")
+def then_relayed(context):
+    update = CatalogUpdate(StorePosition(1, 9), True, _ordered_catalog().snapshot())
+    context.catalog = Catalog()
+    context.catalog.replace(decode(encode(update)).changes, now_ms=NOW_MS)
+    rollouts = context.catalog.rollouts
+    assert rollouts.orders["s"].target_version == "v2"
+    assert rollouts.orders["s"].duration_ms == 12_000.0
+    assert rollouts.in_force("s").phase is RolloutPhase.SHIFT
+    assert rollouts.in_force("s").rejected == ("v0",)
+    # The age that the lead wrote is known to an entry that has just started.
+    assert rollouts.order_age_ms("s", now_ms=NOW_MS) == 9_000.0
+    assert context.catalog.targets["t1"].version == "v1"
+
+
+@then("a snapshot without them removes them")
+def then_removed(context):
+    context.catalog.replace([], now_ms=NOW_MS)
+    assert context.catalog.rollouts.in_force("s") is None
+    assert not context.catalog.rollouts.snapshot()
+
+
+@then("a registration without a version has the empty one")
+def then_no_version(context):
+    info = {k: v for k, v in REGISTRATION["info"].items() if k != "version"}
+    assert decode_target("t", json.dumps(REGISTRATION | {"info": info}).encode()).version == ""
+
+
+@then("a write expects the revisions of the phase and the order, and a conflict is reported")
+def then_written(context):
+    bodies = []
+
+    async def handle(request):
+        bodies.append(json.loads(request.body))
+        return Response(200 if len(bodies) == 1 else 412, [], b"{}")
+
+    async def main():
+        address = free_address()
+        await curio.spawn(serve, address, handle, daemon=True)
+        await curio.sleep(0.05)
+        client = StoreClient(address, on_problem=lambda *_args, **_fields: None)
+        state = _state(RolloutPhase.SHIFT, revision=9)
+        return [await client.write_rollout(state) for _ in range(2)]
+
+    assert curio.run(main) == [True, False]
+    expected = {"kingcupusher/rollouts/s": 9, "op/rollout/s": 7}
+    assert {row["key"]: row["revision"] for row in bodies[0]["expect"]} == expected
+    keys = {put["key"] for put in bodies[0]["puts"]}
+    assert keys == {"kingcupusher/rollouts/s", "status/rollout/s"}, keys
+
+
+@then("the status has exactly a state and a target version for each phase")
+def then_status(context):
+    states = ["running", "running", "completed", "rolled_back"]
+    for phase, expected in zip(RolloutPhase, states, strict=True):
+        status = json.loads(encode_rollout_status(_state(phase)))
+        assert status == {"state": expected, "targetVersion": "v2"}, status
+
+
+# -- choices
+
+
+def _machines(version, count, *, warm_at_ms=0.0):
+    return [Machine(f"{version}-{i}", version, warm_at_ms) for i in range(count)]
+
+
+def _rule(phase, **options):
+    return VersionRule(
+        service="s", target_version="v2", phase=phase, phase_age_ms=RAMP_MS, **options
+    )
+
+
+@given("{count:d} old targets, and new targets that are {new}")
+def given_targets(context, count, new):
+    warm_at_ms = NOW_MS + 1.0 if new == "cold" else 0.0
+    context.targets = _machines("v1", count)
+    context.targets += _machines("v2", 0 if new == "missing" else count, warm_at_ms=warm_at_ms)
+
+
+@then('in the phase "{phase}" a request with the number {draw:g} may go to {count:d} {version}')
+def then_allowed(context, phase, draw, count, version):
+    rule = _rule(None if phase == "ordered" else RolloutPhase(phase))
+    allowed = choose_targets(context.targets, rule, draw=draw, now_ms=NOW_MS)
+    versions = {t.version for t in allowed}
+    assert (len(allowed), versions) == (count, {"v1" if version == "old" else "v2"}), versions
+
+
+@then("without usable old targets, 0.06 of the requests of a trial may go to new ones")
+def then_share_kept(context):
+    rule, rng = _rule(RolloutPhase.TRIAL), Random(1)
+    draws = [rng.random() for _ in range(10_000)]
+    served = sum(bool(choose_targets(_machines("v2", 9), rule, draw=d, now_ms=0.0)) for d in draws)
+    assert abs(served / 10_000 - CANARY_SHARE) < 0.01, served
+
+
+@then("without registered old targets, all requests may")
+def then_only_new(context):
+    rule = _rule(RolloutPhase.TRIAL, has_old=False)
+    assert len(choose_targets(_machines("v2", 9), rule, draw=0.9, now_ms=0.0)) == 9
+
+
+@then("after a rollback, none may")
+def then_none(context):
+    rule = _rule(RolloutPhase.ROLLED_BACK, has_old=False)
+    assert not choose_targets(_machines("v2", 9), rule, draw=0.0, now_ms=0.0)
+
+
+@then("for any targets, all entries choose the same canaries with the load of an old target")
+def then_canaries(context):
+    def prop(old_count, seed):
+        new = _machines("v2", old_count)
+        chosen = canaries(new, service="s", old_count=old_count)
+        Random(seed).shuffle(new)
+        assert chosen == canaries(new, service="s", old_count=old_count)
+        canary_load = CANARY_SHARE / len(chosen)
+        old_load = (1.0 - CANARY_SHARE) / old_count
+        # With fewer than 16 old targets, even one canary gets more than its share of the load.
+        assert 0.6 < canary_load / old_load < 1.6 or (len(chosen) == 1 and old_count < 16)
+
+    check_property(context, prop, old_count=st.integers(1, 200), seed=st.integers(0, 99))
+
+
+# -- verdicts
+
+
+def _counts(text):
+    parsed = {}
+    for part in text.split(", "):
+        route, numbers = part.split()
+        parsed[route] = VersionCounts(*map(int, numbers.split("/")))
+    return parsed
+
+
+@then("the verdict on {new} is {verdict} if the old version had {old}")
+def then_verdict(context, new, verdict, old):
+    assert judge(_counts(old), _counts(new)) is Verdict(verdict)
+
+
+def _outcomes(good, bad, *, bad_bucket=None):
+    latencies = {13: good}
+    if bad_bucket is not None:
+        latencies[bad_bucket] = bad
+    return Outcomes(0 if bad_bucket else bad, latencies)
+
+
+def _late_verdict(old_later, new_later):
+    ledger = RolloutLedger()
+    earlier = RouteOutcomes(_outcomes(900, 5), _outcomes(300, 0))
+    ledger.add("e1", 1, EntryCounts(1_200, 300, {"a": earlier}))
+    ledger.remember(now_ms=0.0)
+    later = {"a": RouteOutcomes(old_later, new_later)}
+    ledger.add("e1", 1, EntryCounts(1_300, 330, later))
+    return ledger.verdict(now_ms=750.0)
+
+
+@then("{bad:d} bad responses after {good:d} good ones are enough for a verdict")
+def then_late_fault(context, bad, good):
+    assert _late_verdict(_outcomes(950, 5), _outcomes(good + bad, bad)) is Verdict.BAD
+
+
+@then("a fleet that is slow for a moment is not")
+def then_slow_fleet(context):
+    old = Outcomes(5, {13: 920, 19: 40})
+    assert _late_verdict(old, Outcomes(0, {13: 315, 19: 15})) is not Verdict.BAD
+
+
+@then("for any order of reports, the sums are those of the latest report of each run")
+def then_sums(context):
+    def prop(reports):
+        ledger, latest = RolloutLedger(), {}
+        for entry, run, count in reports:
+            outcomes = {"a": RouteOutcomes(_outcomes(count, 0), _outcomes(0, count))}
+            ledger.add(entry, run, EntryCounts(2 * count, count, outcomes))
+            latest[entry, run] = max(count, latest.get((entry, run), 0))
+        total = sum(latest.values())
+        old, new = ledger.counts()
+        assert (ledger.requests, ledger.exposed) == (2 * total, total)
+        if reports:
+            assert (old["a"].responses, new["a"].failures) == (total, total)
+
+    report = st.tuples(st.sampled_from("xyz"), st.integers(1, 2), st.integers(0, 50))
+    check_property(context, prop, reports=st.lists(report, max_size=30))
+
+
+@then("of {runs:d} rollouts, at least {expected:d} end as {end} within the bounds")
+def then_model(context, runs, expected, end):
+    row = context.active_outline
+    fault, per_s = FAULTS[row["fault"]], int(row["per_s"])
+    seed = int(context.config.userdata.get("seed", 0))
+    ends = []
+    for run in range(runs):
+        model = RolloutModel(
+            Random(1_000 * seed + run),
+            old=Version(**USUAL),
+            new=Version(**USUAL, **fault),
+            per_s=per_s,
+            targets=57 if per_s > 100 else 26,
+        ).run()
+        ends.append(model.final_phase.value)
+        if fault:
+            assert model.excess_exposure() <= 0.0, (run, model.phases, len(model.new_ms))
+            assert model.late_requests() == 0, (run, model.phases)
+        else:
+            assert model.phases[-1][1] <= model.duration_ms, model.phases
+    assert ends.count(end) >= expected, ends
--- a/testing/gateway/cluster.py
+++ b/testing/gateway/cluster.py
@@ -18,6 +18,8 @@
 class Cluster:
     """Several entries and their store in one curio event loop."""
 
+    entry_class = DiscoveryEntry
+
     def __init__(self, count, zones):
         self.store = FakeStore()
         self.store.write("routes", RoutesPublished(route_table()))
@@ -45,7 +47,7 @@
     async def start(self, name):
         """Start the entry ``name``."""
         address = self.addresses.setdefault(name, ADDRESSES.allocate())
-        self.members[name] = DiscoveryEntry(
+        self.members[name] = self.entry_class(
             name,
             self.zones[name],
             self.store,
--- a/testing/gateway/discovery_entry.py
+++ b/testing/gateway/discovery_entry.py
@@ -34,8 +34,9 @@
             is_reader=lambda: self.reader_slot.is_held,
             on_event=self._on_event,
         )
+        self.lead_server = LeadServer()
         relay = RelayServer(
-            address, self.follower, self.catalog, entry=name, lead_server=LeadServer()
+            address, self.follower, self.catalog, entry=name, lead_server=self.lead_server
         )
         subscriptions = Subscriptions(
             self.follower, self.catalog, entry=name, zone=zone, seeds=seeds, on_event=self._on_event
--- a/testing/gateway/store.py
+++ b/testing/gateway/store.py
@@ -5,6 +5,7 @@
 from collections import Counter
 
 import curio
+import msgspec
 
 from kingcupusher._core import now_ms
 from kingcupusher._discovery import (
@@ -13,6 +14,9 @@
     HistoryGoneError,
     ReaderGone,
     ReaderSeen,
+    RolloutOrder,
+    RolloutOrdered,
+    RolloutPhaseSeen,
     StorePosition,
 )
 
@@ -36,6 +40,7 @@
         self.slot_leases = {}
         self.watching_entries = set()
         self.stale_batch = None
+        self.loses_responses = False
 
     def write(self, key, change):
         """Write ``change`` under ``key``."""
@@ -43,6 +48,16 @@
         self.contents[key] = change
         self.events.append((self.revision, change))
 
+    def order_rollout(self, version, *, duration_ms):
+        """Order the rollout of ``version`` for the service ``s``."""
+        order = RolloutOrder(
+            service="s",
+            target_version=version,
+            duration_ms=duration_ms,
+            revision=self.revision + 1,
+        )
+        self.write("order s", RolloutOrdered(order))
+
     def remove(self, key, change):
         """Remove ``key`` and record ``change`` as the event."""
         self.revision += 1
@@ -164,6 +179,21 @@
         await self._call(1_000.0)
         self.store.remove(f"crash {crash.fingerprint} {crash.target_id}", crash)
 
+    async def write_rollout(self, state):
+        """Write a phase unless it or the order has changed; the response may be lost."""
+        await self._call(600.0)
+        store = self.store
+        before = store.contents.get(f"rollout {state.service}")
+        order = store.contents.get(f"order {state.service}")
+        is_current = (before.state.revision if before else 0) == state.revision
+        if not is_current or order is None or order.order.revision != state.order_revision:
+            return False
+        written = msgspec.structs.replace(state, revision=store.revision + 1)
+        store.write(f"rollout {state.service}", RolloutPhaseSeen(written))
+        if store.loses_responses:
+            raise ChangeSourceError("the response was lost")
+        return True
+
     async def renew(self, lease):
         """Return whether the lease exists."""
         await self._call(1_000.0)
