--- a/src/kingcupusher/_gateway/selector.py
+++ b/src/kingcupusher/_gateway/selector.py
@@ -17,6 +17,7 @@
 from kingcupusher._limits import connection_share
 from kingcupusher._routing.acceptance import MAX_FAIR_COST, MAX_GOOD_COST, AcceptanceCriteria
 from kingcupusher._routing.selection import PROBE_ORDERS, target_cost
+from kingcupusher._routing.version_choice import OLD_VERSION_DRAW
 
 PROBE_COUNT = 5
 """More than five probes had no benefit at normal load (docs/decisions/asking.md)."""
@@ -114,7 +115,7 @@
         *,
         exclude: Collection[str],
         deadline_ms: float,
-        draw: float,
+        draw: float = OLD_VERSION_DRAW,
         count: int = PROBE_COUNT,
     ) -> ProbeResults:
         """Probe ``count`` targets, and further ones if none of them is good.
--- a/src/kingcupusher/_gateway/wait_queue.py
+++ b/src/kingcupusher/_gateway/wait_queue.py
@@ -11,7 +11,6 @@
 from kingcupusher._gateway.load_probe import ProbedTarget
 from kingcupusher._gateway.selector import TargetSelector
 from kingcupusher._routing.acceptance import AcceptanceCriteria
-from kingcupusher._routing.version_choice import OLD_VERSION_DRAW
 
 POLL_INTERVAL_S = 0.06
 POLL_PROBE_COUNT = 3
@@ -93,11 +92,7 @@
     async def _assign_targets(self) -> None:
         assert self._service is not None
         results = await self._selector.probe_targets(
-            self._service,
-            exclude=(),
-            count=POLL_PROBE_COUNT,
-            deadline_ms=float("inf"),
-            draw=OLD_VERSION_DRAW,
+            self._service, exclude=(), count=POLL_PROBE_COUNT, deadline_ms=float("inf")
         )
         unassigned = list(results.usable)
         try:
--- a/testing/features/rollouts.feature
+++ b/testing/features/rollouts.feature
@@ -84,6 +84,28 @@
     Guards against counts that shrink, or that are added up twice.
     Then for any order of reports, the sums are those of the latest report of each run
 
+  Scenario Outline: <verdict> in the <phase> at <age> s with <exposed> exposed and <entries>: <next>
+    Guards against a shift without evidence or too late, and against a lead of a minority.
+    Then "<verdict>" in the "<phase>" at <age> s, <exposed> exposed and <entries> leads to "<next>"
+
+    Examples: an order of 12 s with 100 requests a second, whose shift began at 8.6 s
+      | phase | verdict   | age  | exposed | entries  | next        |
+      | trial | bad       | 5.0  | 10      | few      | rolled_back |
+      | trial | suspect   | 8.0  | 30      | all      | trial       |
+      | trial | good      | 8.0  | 30      | all      | trial       |
+      | trial | good      | 8.4  | 30      | all      | shift       |
+      | trial | good      | 8.4  | 30      | few      | trial       |
+      | trial | undecided | 8.7  | 30      | all      | trial       |
+      | trial | undecided | 9.2  | 30      | all      | rolled_back |
+      | trial | good      | 9.2  | 30      | all      | rolled_back |
+      | shift | bad       | 9.0  | 60      | few      | rolled_back |
+      | shift | suspect   | 8.8  | 10      | all      | shift       |
+      | shift | suspect   | 9.6  | 110     | all      | rolled_back |
+      | shift | good      | 11.5 | 300     | all      | shift       |
+      | shift | good      | 11.7 | 300     | all      | completed   |
+      | shift | undecided | 11.7 | 300     | all      | rolled_back |
+      | shift | good      | 11.7 | 300     | few      | rolled_back |
+
   Scenario Outline: A version with <fault> at <per_s> requests a second
     Guards against more requests of a bad version than allowed, and good ones that never complete.
     Then of <runs> rollouts, at least <expected> end as <end> within the bounds
@@ -98,6 +120,8 @@
       | slow responses at once    | 188   | 6    | 6        | rolled_back |
       | failures after 6 s        | 44    | 12   | 12       | rolled_back |
       | failures after 6 s        | 188   | 6    | 6        | rolled_back |
+      | failures in the shift     | 44    | 12   | 12       | rolled_back |
+      | failures in the shift     | 188   | 6    | 6        | rolled_back |
       | failures on one route     | 44    | 12   | 12       | rolled_back |
       | failures on one route     | 188   | 6    | 6        | rolled_back |
 
--- a/testing/features/steps/rollout_entry_steps.py
+++ b/testing/features/steps/rollout_entry_steps.py
@@ -122,7 +122,8 @@
     """Entries that send requests, and an order."""
 
     entry_class = RolloutEntry
-    copy = None
+    settled_ms = None
+    """From when on requests must go to the version that the rollout ended with."""
 
     def phase(self):
         """Return the phase in the store, None without one."""
@@ -161,6 +162,7 @@
     copy = cluster.store.copy()
     await cluster.reach(RolloutPhase.ROLLED_BACK)
     await curio.sleep(SETTLE_S)
+    cluster.settled_ms = now_ms()
     cluster.store.restore(copy)
     await curio.sleep(SETTLE_S)
 
@@ -226,7 +228,7 @@
         else:
             await cluster.reach(RolloutPhase(end))
         await curio.sleep(SETTLE_S)
-        settled_ms = now_ms()
+        settled_ms = cluster.settled_ms or now_ms()
         await curio.sleep(0.5)
         running = [cluster.members[name] for name in cluster.running]
         versions = {v for entry in running for ms, v in entry.sent if ms > settled_ms}
--- a/testing/features/steps/rollout_steps.py
+++ b/testing/features/steps/rollout_steps.py
@@ -19,6 +19,7 @@
 from kingcupusher._http.simple_client import Response
 from kingcupusher._http.simple_server import serve
 from kingcupusher._limits.rollout_ledger import EntryCounts, Outcomes, RolloutLedger, RouteOutcomes
+from kingcupusher._limits.rollout_phases import Evidence, decide
 from kingcupusher._limits.rollout_verdict import Verdict, VersionCounts, judge
 from kingcupusher._relay.messages import CatalogUpdate, decode, encode
 from kingcupusher._routing.version_choice import (
@@ -44,6 +45,7 @@
     "failures at once": {"faulty": 0.4},
     "slow responses at once": {"faulty": 0.5, "slowdown": 8.0},
     "failures after 6 s": {"faulty": 0.4, "from_ms": 6_000.0},
+    "failures in the shift": {"faulty": 0.4, "from_ms": 8_500.0},
     "failures on one route": {"faulty": 0.5, "fault_route": "a"},
 }
 
@@ -268,6 +270,21 @@
     check_property(context, prop, reports=st.lists(report, max_size=30))
 
 
+@then('"{verdict}" in the "{phase}" at {age:g} s, {exposed:d} exposed and {few} leads to "{end}"')
+def then_decided(context, verdict, phase, age, exposed, few, end):
+    evidence = Evidence(
+        verdict=Verdict(verdict),
+        requests=int(100 * age),
+        exposed=exposed,
+        order_age_ms=age * 1_000.0,
+        phase_age_ms=(age - 8.6) * 1_000.0,
+        duration_ms=12_000.0,
+        has_majority=few == "all",
+    )
+    decision = decide(RolloutPhase(phase), evidence)
+    assert (decision.phase if decision else RolloutPhase(phase)) is RolloutPhase(end), decision
+
+
 @then("of {runs:d} rollouts, at least {expected:d} end as {end} within the bounds")
 def then_model(context, runs, expected, end):
     row = context.active_outline
