--- a/src/kingcupusher/_gateway/selector.py
+++ b/src/kingcupusher/_gateway/selector.py
@@ -12,6 +12,7 @@
 from kingcupusher._gateway.load_probe import LoadProber, ProbedTarget
 from kingcupusher._gateway.probe_allowance import BURST_S, ProbeAllowance
 from kingcupusher._gateway.request_quotas import RequestQuotas
+from kingcupusher._gateway.rollout_traffic import RolloutTraffic
 from kingcupusher._gateway.target_clients import TargetClient, TargetClients
 from kingcupusher._limits import connection_share
 from kingcupusher._routing.acceptance import MAX_FAIR_COST, MAX_GOOD_COST, AcceptanceCriteria
@@ -22,6 +23,7 @@
     ZonePreference,
     target_cost,
 )
+from kingcupusher._routing.version_choice import OLD_VERSION_DRAW
 
 PROBE_COUNT = 5
 """More than five probes had no benefit at normal load (docs/decisions/asking.md)."""
@@ -81,6 +83,7 @@
         "_entry",
         "_prober",
         "_rng",
+        "_rollouts",
         "_zone",
         "quotas",
     )
@@ -94,6 +97,7 @@
         entry: str,
         zone: str,
         fleet_limits: FleetLimits,
+        rollouts: RolloutTraffic,
         rng: Random,
     ) -> None:
         self._catalog = catalog
@@ -102,6 +106,7 @@
         self._entry = entry
         self._zone = zone
         self._rng = rng
+        self._rollouts = rollouts
         self._allowance = ProbeAllowance(
             probes_per_s=fleet_limits.probes_per_s, near_count=2 * NEAR_COUNT
         )
@@ -115,15 +120,17 @@
         *,
         exclude: Collection[str],
         deadline_ms: float,
+        draw: float = OLD_VERSION_DRAW,
         count: int = PROBE_COUNT,
         preference: ZonePreference = USUAL_PREFERENCE,
     ) -> ProbeResults:
         """Probe ``count`` targets, and further ones if none of them is good.
 
         While probes are scarce, recent readings are used first, and probes only if none is good.
+        During a rollout, ``draw`` decides on the version of the targets.
         """
         started_ms = now_ms()
-        order = self.probe_order(service, exclude, preference)
+        order = self.probe_order(service, exclude, draw=draw, preference=preference)
         results: list[ProbedTarget] = []
         probed_count = 0
         try:
@@ -194,6 +201,8 @@
         self,
         service: ServiceConfig,
         exclude: Collection[str],
+        *,
+        draw: float = OLD_VERSION_DRAW,
         preference: ZonePreference = USUAL_PREFERENCE,
     ) -> Sequence[Target]:
         """Return the targets that may be probed, in the order in which they are; sends nothing."""
@@ -205,7 +214,7 @@
         )
         connections = self._connections_per_target(service, entries)
         candidates = []
-        for target in targets:
+        for target in self._rollouts.allowed(service.name, targets, draw):
             if target.target_id in exclude:
                 continue
             client = self._clients.get(target)
--- a/src/kingcupusher/_gateway/state.py
+++ b/src/kingcupusher/_gateway/state.py
@@ -12,6 +12,7 @@
 from kingcupusher._gateway.header_codec import HeaderCodec
 from kingcupusher._gateway.hedge_state import HedgeState
 from kingcupusher._gateway.load_probe import LoadProber
+from kingcupusher._gateway.rollout_traffic import RolloutTraffic
 from kingcupusher._gateway.selector import TargetSelector
 from kingcupusher._gateway.settings import GatewaySettings
 from kingcupusher._gateway.target_clients import TargetClients
@@ -33,6 +34,7 @@
         "crash_reports",
         "drain",
         "hedge_state",
+        "rollouts",
         "response_budget",
         "catalog",
         "header_codec",
@@ -63,6 +65,7 @@
         )
         self.response_budget = ResponseBudget(settings.response_memory_bytes)
         self.prober = LoadProber(self.target_clients, header_codec, budget=self.response_budget)
+        self.rollouts = RolloutTraffic(catalog, self.metrics, rng=Random())
         self.selector = TargetSelector(
             catalog,
             self.target_clients,
@@ -70,6 +73,7 @@
             entry=settings.entry,
             zone=settings.zone,
             fleet_limits=settings.fleet_limits,
+            rollouts=self.rollouts,
             rng=Random(),
         )
         self._retry_budgets: dict[str, WindowedRetryBudget] = {}
--- a/src/kingcupusher/_gateway/target_search.py
+++ b/src/kingcupusher/_gateway/target_search.py
@@ -27,6 +27,7 @@
     USUAL_PREFERENCE,
     ZonePreference,
 )
+from kingcupusher._routing.version_choice import OLD_VERSION_DRAW
 
 
 def zone_preference(route: Route) -> ZonePreference:
@@ -39,6 +40,7 @@
 
     __slots__ = (
         "_deadline_ms",
+        "_draw",
         "_gateway",
         "_log",
         "_priority",
@@ -67,6 +69,7 @@
         self._priority = priority
         self._received_ms = received_ms
         self._deadline_ms = deadline_ms
+        self._draw = gateway.rollouts.draw(service.name)
         self._tried_targets: set[str] = set()
         self.refusal: ErrorResponse = NO_TARGET
 
@@ -158,7 +161,9 @@
             exclude=self._tried_targets,
             deadline_ms=self._deadline_ms,
             preference=zone_preference(self._route),
+            draw=self._draw,
         )
+        self._draw = OLD_VERSION_DRAW
         best = selector.claim_first(
             results.usable, self._service, criteria=criteria, is_last=is_last
         )
--- a/src/kingcupusher/_relay/lead_link.py
+++ b/src/kingcupusher/_relay/lead_link.py
@@ -32,8 +32,9 @@
 PING_TIMEOUT_MS = 800.0
 SEND_TIMEOUT_S = 0.5
 CHECK_INTERVAL_S = 0.1
-AVOID_AFTER_LOSS_MS = 2_000.0
-"""For this time, a reader whose link was lost is used only if there is no other."""
+AVOID_AFTER_LOSS_MS = 7_000.0
+"""For this time, a reader whose link was lost is used only if there is no other. It is longer than
+the lease of a reader slot, so that entries do not go back to a lead that is gone."""
 NO_REPLY = 0
 
 
