--- /dev/null
+++ b/src/kingcupusher/_limits/quota_tokens.py
@@ -0,0 +1,344 @@
+"""Tokens that one entry holds for its customers, and when it asks the lead for more."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from enum import Enum
+from math import ceil, exp, inf
+from random import Random
+
+from msgspec import Struct
+
+from kingcupusher._limits.quota_terms import QuotaLimit, TokenAnswer, TokenWish
+
+HOLD_MS = 500.0
+REPORT_MS = 300.0
+"""One report for all requests in this time: 296 calls a second for 131 entries and 920 requests."""
+FRESH_MS = 1_000.0
+"""For this time, an answer of the lead tells which customers have tokens left."""
+AHEAD_MS = 200.0
+RETRY_CALL_MS = 300.0
+COUNTED_MS = 2_500.0
+"""The lead counts a silent entry as linked for this time."""
+UNKNOWN_MS = 500.0
+DEMAND_DECAY_MS = 1_000.0
+ADVANCE_FACTOR = 1.5
+OWN_SHARE = 0.7
+"""Part of its share that an entry without a lead uses, while the lead may still count it."""
+ASSUMED_ENTRIES = 320
+"""Without a lead and a list of entries: 32 would give 131 entries four times a quota."""
+MIN_OWN_PAUSE_MS = 200.0
+OWN_PAUSE_SPREAD_MS = 800.0
+
+
+class Verdict(Enum):
+    """Decision on one request."""
+
+    TAKEN = "taken"
+    REFUSED = "refused"
+    ASK = "ask"
+
+
+class TakenToken(Struct):
+    """A token of a customer; ``is_charged`` if the pool of the lead is charged for it."""
+
+    customer: str
+    is_charged: bool
+    is_own: bool = False
+
+
+class _Account:
+    __slots__ = (
+        "advanced",
+        "demand",
+        "demand_ms",
+        "held",
+        "held_until_ms",
+        "limit",
+        "own",
+        "own_ms",
+        "refuse_until_ms",
+        "spread_ms",
+        "unknown_until_ms",
+        "used",
+    )
+
+    def __init__(self, limit: QuotaLimit) -> None:
+        self.limit = limit
+        self.held = 0
+        self.held_until_ms = -inf
+        self.advanced = 0
+        self.used = 0
+        self.demand = 0.0
+        self.demand_ms = -inf
+        self.refuse_until_ms = -inf
+        self.spread_ms = 0.0
+        self.unknown_until_ms = -inf
+        self.own = 0.0
+        self.own_ms = -inf
+
+    def count_request(self, now_ms: float) -> None:
+        self.demand = self.demand_per_ms(now_ms) * DEMAND_DECAY_MS + 1.0
+        self.demand_ms = now_ms
+
+    def demand_per_ms(self, now_ms: float) -> float:
+        return self.demand * exp(-(now_ms - self.demand_ms) / DEMAND_DECAY_MS) / DEMAND_DECAY_MS
+
+    def max_advance(self, now_ms: float) -> int:
+        return 1 + ceil(self.demand_per_ms(now_ms) * REPORT_MS * ADVANCE_FACTOR - 0.5)
+
+    def ahead(self, now_ms: float) -> int:
+        return int(self.demand_per_ms(now_ms) * AHEAD_MS)
+
+    def release_lapsed(self, now_ms: float) -> None:
+        if self.held and now_ms >= self.held_until_ms:
+            self.used -= self.held
+            self.held = 0
+
+
+class QuotaTokens:
+    """Decides on the requests of one entry.
+
+    While the lead has stated lately that a customer is not scarce, requests are served in advance
+    and reported together. Tokens of scarce customers are asked for first. Without a lead, the entry
+    uses its own share.
+    """
+
+    __slots__ = (
+        "_accounts",
+        "_answered_ms",
+        "_asked_ms",
+        "_counted_until_ms",
+        "_entries",
+        "_has_failed",
+        "_is_linked",
+        "_lead",
+        "_own_since_ms",
+        "_report_at_ms",
+        "_retry_call_ms",
+        "_rng",
+        "_scarce",
+    )
+
+    def __init__(self, rng: Random) -> None:
+        self._rng = rng
+        self._accounts: dict[str, _Account] = {}
+        self._scarce: frozenset[str] = frozenset()
+        self._answered_ms = -inf
+        self._asked_ms = -inf
+        self._lead: str | None = None
+        self._is_linked = False
+        self._has_failed = False
+        self._retry_call_ms = -inf
+        self._report_at_ms = inf
+        self._counted_until_ms = -inf
+        self._own_since_ms = -inf
+        self._entries: int | None = None
+
+    # -- what the entry knows
+
+    def set_limits(self, limits: Mapping[str, QuotaLimit]) -> None:
+        """Apply the limits in force; tokens held under another limit of a customer lapse."""
+        accounts = {}
+        for name, limit in limits.items():
+            account = self._accounts.get(name)
+            if account is None:
+                account = _Account(limit)
+            elif account.limit != limit:
+                account.used -= account.held
+                account.held = 0
+                account.refuse_until_ms = -inf
+                account.limit = limit
+            accounts[name] = account
+        self._accounts = accounts
+
+    def set_fleet(self, entries: int | None, *, lead: str | None, now_ms: float) -> None:
+        """Record the number of entries, None if unknown, and the linked lead, None without one."""
+        self._entries = entries
+        was_usable = self._is_lead_usable
+        self._is_linked = lead is not None
+        if lead is not None:
+            if lead != self._lead:
+                # What was used in advance and not reported is charged to the new lead: it is used
+                # in the same window. Other tokens belong to the pool of the former lead.
+                for account in self._accounts.values():
+                    account.used = max(0, min(account.used, account.advanced))
+                self._lead = lead
+                self._has_failed = False
+            self._counted_until_ms = now_ms + COUNTED_MS
+        if was_usable and not self._is_lead_usable:
+            self._own_since_ms = now_ms
+
+    @property
+    def _is_lead_usable(self) -> bool:
+        return self._is_linked and not self._has_failed
+
+    # -- requests
+
+    def take(self, customer: str, *, now_ms: float) -> TakenToken | Verdict:
+        """Take a token for one request; the verdict tells why there is none."""
+        account = self._accounts.get(customer)
+        if account is None:
+            return TakenToken(customer, is_charged=False)
+        account.count_request(now_ms)
+        if self._take_held(account, now_ms):
+            if account.held < account.ahead(now_ms) / 2.0 and account.refuse_until_ms <= now_ms:
+                self._report_at_ms = min(self._report_at_ms, now_ms)
+            return TakenToken(customer, is_charged=True)
+        if account.refuse_until_ms > now_ms:
+            return Verdict.REFUSED
+        if self._may_advance(customer, account, now_ms):
+            account.advanced += 1
+            account.used += 1
+            self._report_at_ms = min(self._report_at_ms, now_ms + REPORT_MS)
+            return TakenToken(customer, is_charged=True)
+        if self._is_lead_usable and account.unknown_until_ms <= now_ms:
+            return Verdict.ASK
+        self._report_at_ms = min(self._report_at_ms, self._retry_call_ms)
+        return self.take_own(customer, now_ms=now_ms)
+
+    def take_granted(self, customer: str, *, now_ms: float) -> TakenToken | Verdict:
+        """Take a token for a request that waited for the answer of the lead."""
+        account = self._accounts.get(customer)
+        if account is None:
+            return TakenToken(customer, is_charged=False)
+        if self._take_held(account, now_ms):
+            return TakenToken(customer, is_charged=True)
+        if account.refuse_until_ms > now_ms:
+            return Verdict.REFUSED
+        return self.take_own(customer, now_ms=now_ms)
+
+    def take_own(self, customer: str, *, now_ms: float) -> TakenToken | Verdict:
+        """Take a token of the entry's own share.
+
+        A share is often less than one request. The request is then served with that probability,
+        and the part of a token is spent in either case, so that all shares add up to the quota.
+        """
+        account = self._accounts.get(customer)
+        if account is None:
+            return TakenToken(customer, is_charged=False)
+        share = OWN_SHARE / (self._entries or ASSUMED_ENTRIES)
+        if account.own_ms < self._own_since_ms or account.own_ms == -inf:
+            # What was used in advance and never reported is repaid first.
+            account.own = -float(max(0, account.used))
+            account.own_ms = self._own_since_ms if self._own_since_ms > -inf else now_ms
+        earned = max(0.0, now_ms - account.own_ms) * account.limit.usable_per_ms(share)
+        account.own = min(account.limit.capacity(share), account.own + earned)
+        account.own_ms = now_ms
+        staked = max(0.0, min(1.0, account.own))
+        account.own -= staked
+        if self._rng.random() >= staked:
+            return Verdict.REFUSED
+        is_charged = now_ms < self._counted_until_ms
+        account.used += is_charged
+        return TakenToken(customer, is_charged=is_charged, is_own=True)
+
+    def give_back(self, token: TakenToken) -> None:
+        """Return the token of a request that was sent to no target; the next report counts it."""
+        account = self._accounts.get(token.customer)
+        if account is not None and token.is_charged:
+            account.used -= 1
+
+    def retry_after_ms(self, customer: str, *, now_ms: float) -> float:
+        """Return when a refused caller should come back, spread over the time that all need."""
+        account = self._accounts.get(customer)
+        if account is None or account.refuse_until_ms <= now_ms:
+            return MIN_OWN_PAUSE_MS + self._rng.random() * OWN_PAUSE_SPREAD_MS
+        spread_ms = max(account.spread_ms, MIN_OWN_PAUSE_MS)
+        return account.refuse_until_ms - now_ms + self._rng.random() * spread_ms
+
+    def room(self, customer: str, *, now_ms: float) -> int:
+        """Return how many requests of ``customer`` may be served before the lead is asked."""
+        account = self._accounts.get(customer)
+        if account is None:
+            return 0
+        account.release_lapsed(now_ms)
+        is_free = self._may_advance(customer, account, now_ms)
+        return account.held + is_free * (account.max_advance(now_ms) - account.advanced)
+
+    # -- calls to the lead
+
+    def next_call_ms(self, *, now_ms: float) -> float:
+        """Return when a call is due although no request waits for it; inf if none is."""
+        if not self._is_linked:
+            return inf
+        due_ms = max(self._report_at_ms, self._retry_call_ms if self._has_failed else -inf)
+        return max(due_ms, now_ms)
+
+    def wishes(self, waiting: Mapping[str, int], *, now_ms: float) -> list[TokenWish]:
+        """Return what to report and to ask for; ``waiting`` counts the requests that wait."""
+        self._report_at_ms = inf
+        self._asked_ms = now_ms
+        wishes = []
+        for name, account in self._accounts.items():
+            account.release_lapsed(now_ms)
+            wanted = waiting.get(name, 0)
+            if wanted or (name in self._scarce and account.refuse_until_ms <= now_ms):
+                wanted = max(wanted, wanted + account.ahead(now_ms) - account.held)
+            if wanted or account.used:
+                wishes.append(TokenWish(name, account.used, wanted))
+                account.used = account.advanced = 0
+        return wishes
+
+    def on_answers(
+        self,
+        wishes: Sequence[TokenWish],
+        answers: Sequence[TokenAnswer | None],
+        scarce: Sequence[str],
+        *,
+        now_ms: float,
+    ) -> None:
+        """Apply the answers of the lead to the last ``wishes``.
+
+        Their age counts from the call: an entry that was frozen may read an old answer as if it
+        had just arrived.
+        """
+        self._has_failed = False
+        self._answered_ms = self._asked_ms
+        self._scarce = frozenset(scarce)
+        for wish, answer in zip(wishes, answers, strict=False):
+            account = self._accounts.get(wish.customer)
+            if account is None:
+                continue
+            if answer is None:
+                account.unknown_until_ms = now_ms + UNKNOWN_MS
+                continue
+            if not account.held:
+                account.held_until_ms = self._asked_ms + HOLD_MS
+            account.held += answer.granted
+            if answer.granted < wish.wanted:
+                spread = 0.75 + 0.5 * self._rng.random()
+                account.refuse_until_ms = now_ms + answer.refuse_ms * spread
+                account.spread_ms = answer.spread_ms
+
+    def on_failure(self, wishes: Sequence[TokenWish], *, now_ms: float) -> None:
+        """Use the own share for a while, since the lead did not answer in time.
+
+        The lead may have counted the wishes: what was used is reported again, what was given back
+        is not.
+        """
+        for wish in wishes:
+            account = self._accounts.get(wish.customer)
+            if account is not None:
+                account.used += max(0, wish.used)
+                account.advanced += max(0, wish.used)
+        if self._is_lead_usable:
+            self._own_since_ms = now_ms
+        self._answered_ms = -inf
+        self._has_failed = True
+        self._retry_call_ms = now_ms + RETRY_CALL_MS
+
+    # -- details
+
+    def _take_held(self, account: _Account, now_ms: float) -> bool:
+        account.release_lapsed(now_ms)
+        if not account.held:
+            return False
+        account.held -= 1
+        return True
+
+    def _may_advance(self, customer: str, account: _Account, now_ms: float) -> bool:
+        is_fresh = now_ms - self._answered_ms < FRESH_MS
+        if not is_fresh or customer in self._scarce or account.unknown_until_ms > now_ms:
+            return False
+        return account.advanced < account.max_advance(now_ms)
--- /dev/null
+++ b/testing/customer_quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Model of a fleet that shares the quotas of customers, without a network."""
