Merge quotas of customers over the whole fleet

The token of a request is handled in a module of its own; a lead link is kept for quotas and for rollouts.

--- a/src/kingcupusher/_gateway/exchange.py
+++ b/src/kingcupusher/_gateway/exchange.py
@@ -23,6 +23,7 @@
 from kingcupusher._gateway.load_probe import ProbedTarget
 from kingcupusher._gateway.request_fingerprint import request_fingerprint
 from kingcupusher._gateway.request_log import RequestLog
+from kingcupusher._gateway.request_token import RequestToken
 from kingcupusher._gateway.route_match import RouteMatch, match_route
 from kingcupusher._gateway.send_rules import SendRules
 from kingcupusher._gateway.state import GatewayState
@@ -57,6 +58,7 @@
         "_attempts",
         "_search",
         "_service",
+        "_token",
     )
 
     def __init__(self, caller: CallerRequest, gateway: GatewayState) -> None:
@@ -76,12 +78,15 @@
         self._hedger: Hedger | None = None
         self._in_flight = ConcurrentAttempts()
         self._fallback_response: BufferedResponse | None = None
+        self._token = RequestToken(gateway)
 
     async def run(self) -> None:
         """Find targets for the request and respond to the caller."""
         try:
             await self._run()
         finally:
+            if not self._attempts:
+                self._token.give_back()
             for attempt in self._attempts:
                 attempt.share.release()
 
@@ -134,6 +139,9 @@
             return NO_TARGET
         self._log.service = self._service.name
         refusal = self._rules.refusal()
+        if refusal is not None:
+            return refusal
+        refusal = await self._token.take(self._match.customer)
         if refusal is not None:
             return refusal
         self._gateway.on_request(self._service.name)
--- a/src/kingcupusher/_gateway/process.py
+++ b/src/kingcupusher/_gateway/process.py
@@ -13,6 +13,7 @@
 from kingcupusher._core import now_ms
 from kingcupusher._core.signal_event import SignalEvent
 from kingcupusher._discovery import NO_POSITION, Catalog, StoreFollower
+from kingcupusher._gateway.customer_quotas import CustomerQuotas
 from kingcupusher._gateway.exchange import Exchange
 from kingcupusher._gateway.explanation import EXPLAIN_PATH, respond_to_question
 from kingcupusher._gateway.header_codec import HeaderCodec
@@ -74,6 +75,7 @@
     """Runs the tasks of one entry."""
 
     __slots__ = (
+        "_customer_quotas",
         "_listen_socket",
         "_follower",
         "_gateway",
@@ -140,6 +142,15 @@
             on_event=self._gateway.on_event,
             rng=Random(),
         )
+        self._customer_quotas = CustomerQuotas(
+            catalog,
+            self._lead_link,
+            self._lead_server,
+            metrics=self._gateway.metrics,
+            log=log,
+            rng=Random(),
+        )
+        self._gateway.customer_quotas = self._customer_quotas
         self._relay = RelayServer(
             settings.relay_address,
             self._follower,
@@ -183,6 +194,7 @@
             self._relay.run,
             self._subscriptions.run,
             self._lead_link.run,
+            self._customer_quotas.run,
             self._run_readiness_server,
             self._run_metrics_server,
             self._run_maintenance,
@@ -240,9 +252,7 @@
 
     def _is_lead_needed(self) -> bool:
         """Return whether a quota or a rollout is decided for the whole fleet now."""
-        catalog = self._gateway.catalog
-        customers = catalog.route_table.customers if catalog.route_table else ()
-        return any(c.has_quota for c in customers) or catalog.rollouts.needs_lead
+        return self._customer_quotas.is_needed or self._gateway.catalog.rollouts.needs_lead
 
     async def _run_readiness_server(self) -> None:
         await serve(self._gateway.settings.readiness_address, self._handle_readiness)
@@ -265,6 +275,7 @@
         return (
             self._gateway.gauges(now_ms=current_ms)
             | self._rollouts.gauges()
+            | self._customer_quotas.gauges(now_ms=current_ms)
             | {
                 ("news_age_ms", ()): current_ms - self._follower.confirmed_ms,
                 ("store_restorations", ()): position.restorations,
@@ -300,4 +311,5 @@
             self._limits.max_body_bytes = limits.max_body_bytes
             self._limits.head_timeout_ms = limits.head_timeout_ms
             self._limits.idle_timeout_ms = limits.idle_timeout_ms
+            self._customer_quotas.on_routes(table)
         self._gateway.on_event(event, **fields)
--- a/src/kingcupusher/_gateway/state.py
+++ b/src/kingcupusher/_gateway/state.py
@@ -8,6 +8,7 @@
 from kingcupusher._discovery import Catalog, CrashSeen, CrashWithdrawn, Route
 from kingcupusher._gateway.attempt import AttemptOutcome, AttemptResult
 from kingcupusher._gateway.crash_reports import CrashReports, CrashStore
+from kingcupusher._gateway.customer_quotas import CustomerQuotas
 from kingcupusher._gateway.drain import Drain
 from kingcupusher._gateway.header_codec import HeaderCodec
 from kingcupusher._gateway.hedge_state import HedgeState
@@ -32,6 +33,7 @@
         "_wait_queues",
         "_response_times",
         "crash_reports",
+        "customer_quotas",
         "drain",
         "hedge_state",
         "rollouts",
@@ -84,6 +86,8 @@
         self.hedge_state: HedgeState | None = None
         if settings.hedge_percent > 0.0:
             self.hedge_state = HedgeState(percent=settings.hedge_percent, rng=Random())
+        self.customer_quotas: CustomerQuotas | None = None
+        """None in an entry without a link to the lead."""
 
     def on_event(self, event: str, **fields: object) -> None:
         """Log an event and count it in the metrics."""
