Bound what an entry holds for callers

Cause: nothing bounded what all request bodies take together, a body in small chunks was read without turns, open connections had no limit, and a body was copied several times on its way to a target.

A Content-Length over maxBodyBytes gets 413 before the body is read. A body waits for its turn after 64 KiB or 32 chunks. At most half of the free descriptors, and what 0.15 of memoryMb allows, are open connections of callers; then the one idle for longest is closed. Bodies are kept in pieces and sent as such.

--- a/src/kingcupusher/_gateway/attempt.py
+++ b/src/kingcupusher/_gateway/attempt.py
@@ -9,7 +9,8 @@
 from kingcupusher._core import now_ms
 from kingcupusher._gateway.header_codec import CallerIdentity, HeaderCodec, ResponseKind
 from kingcupusher._gateway.load_probe import ProbedTarget
-from kingcupusher._http.buffered import BufferedResponse, encode_request, read_response
+from kingcupusher._http.body_pieces import BodyPieces
+from kingcupusher._http.buffered import BufferedResponse, encode_in_pieces, read_response
 from kingcupusher._http.client_connection import ClientConnection
 from kingcupusher._http.errors import ExchangeError, ResponseTooLargeError
 from kingcupusher._http.heads import RequestHead
@@ -77,7 +78,7 @@
         self,
         probed: ProbedTarget,
         head: RequestHead,
-        body: bytes,
+        body: BodyPieces,
         *,
         request_id: bytes,
         fingerprint: str,
@@ -113,6 +114,8 @@
             )
         finally:
             self.ended_ms = now_ms()
+            # The result outlives the request in the log; it must not hold the body.
+            self._body = BodyPieces()
             if self.probed.claimed_ms is not None:
                 client.sends.finish(self.probed.claimed_ms)
             await client.pool.release(connection, reusable=is_complete)
@@ -138,7 +141,8 @@
                 was_sent=False,
             )
         connection.start_next_request()
-        await connection.send(self._encode(connection, deadline_ms))
+        for piece in self._encode(connection, deadline_ms):
+            await connection.send(piece)
         response = await self._read_own_response(connection)
         kind = self._header_codec.classify(response)
         outcome = OUTCOME_BY_RESPONSE_KIND[kind]
@@ -167,7 +171,7 @@
             f"{connection.address} sent only responses to other requests"
         )
 
-    def _encode(self, connection: ClientConnection, deadline_ms: float) -> bytes:
+    def _encode(self, connection: ClientConnection, deadline_ms: float) -> list[bytes]:
         remaining_ms = max(1, int(deadline_ms - now_ms()))
         headers = self._header_codec.request_headers(
             self._head,
@@ -175,6 +179,8 @@
             remaining_ms=remaining_ms,
             identity=self._identity,
         )
-        if self._body or self._head.method in METHODS_WITH_BODY:
-            headers.append((b"content-length", b"%d" % len(self._body)))
-        return encode_request(connection, self._head.method, self._head.target, headers, self._body)
+        if self._body.size_bytes or self._head.method in METHODS_WITH_BODY:
+            headers.append((b"content-length", b"%d" % self._body.size_bytes))
+        return encode_in_pieces(
+            connection, self._head.method, self._head.target, headers, self._body.pieces()
+        )
--- a/src/kingcupusher/_gateway/process.py
+++ b/src/kingcupusher/_gateway/process.py
@@ -172,7 +172,11 @@
         stop = SignalEvent()
         stop.set_on_signals((signal.SIGTERM, signal.SIGINT))
         self._listener = PipelineListener(
-            self._listen_socket, self._handle, limits=self._limits, on_closed=self._record_close
+            self._listen_socket,
+            self._handle,
+            limits=self._limits,
+            on_closed=self._record_close,
+            resources=self._gateway.caller_resources,
         )
         accepting = await curio.spawn(self._listener.run, daemon=True)
         for task in (
@@ -260,6 +264,7 @@
             ("store_restorations", ()): position.restorations,
             ("store_revision", ()): position.revision,
             ("is_reader", ()): float(self._reader_slot.is_held),
+            ("caller_connections", ()): self._listener.connection_count if self._listener else 0,
             ("is_ready", ()): float(self.is_ready),
             ("store_calls_total", ()): self._store.call_count,
         }
--- a/src/kingcupusher/_gateway/settings.py
+++ b/src/kingcupusher/_gateway/settings.py
@@ -6,6 +6,7 @@
 
 from kingcupusher._core.address import Address
 from kingcupusher._gateway.fleet_limits import FleetLimits
+from kingcupusher._http.caller_resources import DEFAULT_CONNECTION_LIMIT, DEFAULT_MEMORY_BYTES
 
 
 class GatewaySettings(Struct, frozen=True, kw_only=True):
@@ -14,6 +15,8 @@
     ``seeds`` are relay addresses of other entries, used to start while the store is unavailable.
     ``link_mbps`` is the bandwidth of the VM's network link. ``response_memory_bytes`` bounds what
     all responses take in total, from their first byte until they are written.
+    ``caller_memory_bytes`` bounds what all requests take, from their first byte until they end,
+    and ``caller_connection_limit`` the open connections of callers.
     """
 
     entry: str
@@ -27,3 +30,5 @@
     connection_limit: int
     link_mbps: float
     response_memory_bytes: int
+    caller_memory_bytes: int = DEFAULT_MEMORY_BYTES
+    caller_connection_limit: int = DEFAULT_CONNECTION_LIMIT
--- a/src/kingcupusher/_gateway/state.py
+++ b/src/kingcupusher/_gateway/state.py
@@ -15,6 +15,9 @@
 from kingcupusher._gateway.settings import GatewaySettings
 from kingcupusher._gateway.target_clients import TargetClients
 from kingcupusher._gateway.wait_queue import WaitQueue
+from kingcupusher._http.caller_resources import CallerResources
+from kingcupusher._http.errors import BadRequestError
+from kingcupusher._http.heads import HeaderList, RequestHead
 from kingcupusher._http.response_budget import ResponseBudget
 from kingcupusher._limits.windowed_retry import WindowedRetryBudget
 from kingcupusher._observe.events import EventLog
@@ -29,6 +32,7 @@
         "_retry_budgets",
         "_wait_queues",
         "_response_times",
+        "caller_resources",
         "crash_reports",
         "drain",
         "response_budget",
@@ -60,6 +64,12 @@
             catalog, connection_limit=settings.connection_limit, on_event=self.on_event
         )
         self.response_budget = ResponseBudget(settings.response_memory_bytes)
+        self.caller_resources = CallerResources(
+            memory_bytes=settings.caller_memory_bytes,
+            connection_limit=settings.caller_connection_limit,
+            refusal_headers=self._refusal_headers,
+            on_refused=self._on_refused,
+        )
         self.prober = LoadProber(self.target_clients, header_codec, budget=self.response_budget)
         self.selector = TargetSelector(
             catalog,
@@ -81,6 +91,19 @@
         self.metrics.count("events_total", labels(event=event))
         self.log.event(event, **fields)
 
+    def _refusal_headers(self, head: RequestHead) -> HeaderList:
+        return self.header_codec.error_response_headers(head, retry_after_ms=None)
+
+    def _on_refused(self, error: BadRequestError) -> None:
+        """Count a request that was rejected before it was complete; log lack of memory."""
+        self.metrics.count("requests_rejected_total", labels(status=str(error.status)))
+        if error.retry_after_ms is not None:
+            self.log.event(
+                "request refused",
+                reason=str(error),
+                used_bytes=self.caller_resources.budget.used_bytes,
+            )
+
     async def learn_from(self, result: AttemptResult, *, request_id: bytes) -> None:
         """Record what an attempt shows about its target and about equal requests."""
         client = result.attempt.probed.client
@@ -141,6 +164,8 @@
             ("log_lines_dropped_total", ()): self.log.dropped_lines,
             ("questions_total", ()): self.prober.probe_count,
             ("response_memory_bytes", ()): self.response_budget.used_bytes,
+            ("request_memory_bytes", ()): self.caller_resources.budget.used_bytes,
+            ("requests_evicted_total", ()): self.caller_resources.budget.evicted_count,
             ("requests_quarantined", ()): catalog.crashes.refused_count(now_ms=now_ms),
         }
         slack = self.retry_slack(now_ms=now_ms)
--- a/src/kingcupusher/_http/acceptor.py
+++ b/src/kingcupusher/_http/acceptor.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 
 import curio
@@ -12,11 +13,22 @@
 
 
 class Acceptor:
-    """Accepts connections on a listening socket and closes it at the end."""
-
-    __slots__ = ("_handler", "_sock", "address")
-
-    def __init__(self, listening: socket.socket, handler: ConnectionHandler) -> None:
+    """Accepts connections on a listening socket and closes it at the end.
+
+    ``make_room`` returns when another connection may be accepted; until then, new ones stay in the
+    kernel's backlog.
+    """
+
+    __slots__ = ("_handler", "_make_room", "_sock", "address")
+
+    def __init__(
+        self,
+        listening: socket.socket,
+        handler: ConnectionHandler,
+        *,
+        make_room: Callable[[], Awaitable[None]] | None = None,
+    ) -> None:
+        self._make_room = make_room
         self._sock = curio.io.Socket(listening)
         self._handler = handler
         host, port = listening.getsockname()[:2]
@@ -25,6 +37,8 @@
     async def run(self) -> None:
         """Accept until cancelled."""
         while True:
+            if self._make_room is not None:
+                await self._make_room()
             await self._spawn_handler(await accept_connection(self._sock))
 
     async def accept_backlog_and_close(self) -> None:
--- a/src/kingcupusher/_http/body_pieces.py
+++ b/src/kingcupusher/_http/body_pieces.py
@@ -19,6 +19,14 @@
         self._last = bytearray()
         self.size_bytes = 0
 
+    def __len__(self) -> int:
+        return self.size_bytes
+
+    def prefix(self, max_bytes: int) -> bytes:
+        """Return the first ``max_bytes``, at most ``PIECE_BYTES``."""
+        first = self._pieces[0] if self._pieces else bytes(self._last)
+        return first[:max_bytes]
+
     def append(self, data: bytes) -> None:
         """Add ``data`` at the end of the body."""
         self.size_bytes += len(data)
--- a/src/kingcupusher/_http/buffered.py
+++ b/src/kingcupusher/_http/buffered.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Any
 
 import h11
@@ -37,10 +38,21 @@
     connection: ClientConnection, method: bytes, path: bytes, headers: HeaderList, body: bytes
 ) -> bytes:
     """Encode a request with its body."""
-    data = connection.encode_head(method, path, headers)
-    if body:
-        data += connection.encode(h11.Data(data=body))
-    return data + connection.encode(END_OF_MESSAGE)
+    return b"".join(encode_in_pieces(connection, method, path, headers, [body] if body else []))
+
+
+def encode_in_pieces(
+    connection: ClientConnection,
+    method: bytes,
+    path: bytes,
+    headers: HeaderList,
+    body: Sequence[bytes],
+) -> list[bytes]:
+    """Encode a request whose length is known; a body of several pieces is not copied."""
+    pieces = [connection.encode_head(method, path, headers)]
+    pieces += [connection.encode(h11.Data(data=piece)) for piece in body]
+    pieces.append(connection.encode(END_OF_MESSAGE))
+    return pieces if len(body) > 1 else [b"".join(pieces)]
 
 
 async def read_response(
--- a/src/kingcupusher/_http/caller_request.py
+++ b/src/kingcupusher/_http/caller_request.py
@@ -8,6 +8,7 @@
 import curio
 import h11
 
+from kingcupusher._http.body_pieces import BodyPieces
 from kingcupusher._http.close_reason import CloseReason
 from kingcupusher._http.heads import HeaderList, trusted_headers
 from kingcupusher._http.request_parsing import END_OF_MESSAGE
@@ -35,7 +36,16 @@
 class CallerRequest:
     """A buffered request; its response is written in the order of the pipeline."""
 
-    __slots__ = ("_connection", "_http", "_is_responded", "body", "head", "received_ms", "task")
+    __slots__ = (
+        "_connection",
+        "_http",
+        "_is_responded",
+        "_share",
+        "body",
+        "head",
+        "received_ms",
+        "task",
+    )
 
     def __init__(self, connection: ResponsePipeline, received: ReceivedRequest) -> None:
         self._connection = connection
@@ -43,6 +53,7 @@
         self._is_responded = False
         self.head = received.head
         self.body = received.body
+        self._share = received.share
         self.received_ms = received.received_ms
         self.task: curio.Task | None = None
 
@@ -61,6 +72,11 @@
         """Whether the connection cannot be reused after the response."""
         return self._http.our_state is not h11.DONE
 
+    def release(self) -> None:
+        """Free the body and return the request's part of the memory for callers."""
+        self.body = BodyPieces()
+        self._share.release()
+
     async def wait_for_earlier_responses(self) -> None:
         """Wait until the responses to all earlier requests of the connection were written."""
         await self._connection.wait_for_turn(self)
--- a/src/kingcupusher/_http/close_reason.py
+++ b/src/kingcupusher/_http/close_reason.py
@@ -10,6 +10,7 @@
 
     CALLER = "the caller closed its connection"
     DEADLINE = "the caller sent nothing in time"
+    CONNECTION_LIMIT = "the entry had too many connections and this one was idle for longest"
     DRAIN = "the entry stops"
     FAILED_HANDLER = "a request could not be handled"
     UNREAD = "the caller did not read its response"
--- a/src/kingcupusher/_http/errors.py
+++ b/src/kingcupusher/_http/errors.py
@@ -42,8 +42,12 @@
 
 
 class BadRequestError(HttpError):
-    """Raised when a request is rejected; ``status`` is the status code of the response."""
+    """Raised when a request is rejected; ``status`` is the status code of the response.
 
-    def __init__(self, status: int, reason: str) -> None:
+    ``retry_after_ms`` tells the caller when to come back, None if it need not.
+    """
+
+    def __init__(self, status: int, reason: str, *, retry_after_ms: float | None = None) -> None:
         super().__init__(reason)
         self.status = status
+        self.retry_after_ms = retry_after_ms
--- a/src/kingcupusher/_http/pipeline.py
+++ b/src/kingcupusher/_http/pipeline.py
@@ -13,12 +13,14 @@
 
 from kingcupusher._core import now_ms
 from kingcupusher._http.caller_request import CallerRequest
+from kingcupusher._http.caller_resources import CallerResources
 from kingcupusher._http.close_reason import CloseReason
 from kingcupusher._http.errors import BadRequestError, CallerDisconnectedError
 from kingcupusher._http.pipeline_limits import PipelineLimits
-from kingcupusher._http.request_parsing import END_OF_MESSAGE, NO_DEADLINE_MS
+from kingcupusher._http.refusal import encode_refusal
+from kingcupusher._http.request_parsing import NO_DEADLINE_MS
 from kingcupusher._http.request_reader import ReadState, RequestReader
-from kingcupusher._http.sending import send_all
+from kingcupusher._http.sending import has_received, send_all
 
 MAX_PIPELINED_REQUESTS = 16
 LINGER_TIMEOUT_MS = 500.0
@@ -55,6 +57,7 @@
         "_pending",
         "_phase",
         "_reader",
+        "_resources",
         "_sock",
         "_turn",
         "close_reason",
@@ -64,13 +67,19 @@
     )
 
     def __init__(
-        self, sock: curio.io.Socket, *, limits: PipelineLimits, handler: RequestHandler
+        self,
+        sock: curio.io.Socket,
+        *,
+        limits: PipelineLimits,
+        handler: RequestHandler,
+        resources: CallerResources | None = None,
     ) -> None:
         self._sock = sock
         self._handler = handler
         self._pending: deque[CallerRequest] = deque()
+        self._resources = resources or CallerResources()
         self._reader = RequestReader(
-            sock, limits=limits, send=self.write, may_invite=self._may_invite
+            sock, self._resources, limits=limits, send=self.write, may_invite=self._may_invite
         )
         self._turn = curio.Condition()
         self._has_capacity = curio.Event()
@@ -96,7 +105,9 @@
 
     async def on_deadline(self) -> None:
         """Close the connection; if responses are due, take no further request and close then."""
-        if self._pending and self._linger_end_ms is None:
+        if self._reader.is_interrupt_due:
+            self._reader.interrupt()
+        elif self._pending and self._linger_end_ms is None:
             self._advance(Phase.FINISHING)
         else:
             await self.close(CloseReason.DEADLINE)
@@ -107,6 +118,18 @@
         is_waiting = self._reader.state is ReadState.WAITING
         return self._phase is Phase.OPEN and not self._pending and is_waiting
 
+    @property
+    def idle_since_ms(self) -> float:
+        """Time since which an idle connection has been idle."""
+        return self._reader.state_since_ms
+
+    async def close_if_unused(self) -> bool:
+        """Close an idle connection for others, unless the caller has sent something meanwhile."""
+        if has_received(self._sock):
+            return False
+        await self.close(CloseReason.CONNECTION_LIMIT)
+        return True
+
     async def run(self) -> None:
         """Serve the connection until it ends; cancel the handlers of a disconnected caller."""
         try:
@@ -135,7 +158,10 @@
                 await self._reject(error)
                 return
             # The phase may have changed while the request came; its caller will send it again.
-            if received is None or self._phase is not Phase.OPEN:
+            if received is None:
+                return
+            if self._phase is not Phase.OPEN:
+                received.share.release()
                 return
             request = CallerRequest(self, received)
             self._pending.append(request)
@@ -155,6 +181,7 @@
         except (CallerDisconnectedError, OSError):
             self._mark_disconnected(CloseReason.CALLER)
         finally:
+            request.release()
             # If the handler failed, close now: the caller must not wait for its deadline.
             if not request.is_response_written:
                 await self.close(CloseReason.FAILED_HANDLER)
@@ -218,12 +245,10 @@
                 await self._turn.wait()
         if self._phase is Phase.CLOSING or http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        body = f"{error}\n".encode()
-        headers = [(b"content-length", b"%d" % len(body)), (b"connection", b"close")]
-        response = h11.Response(status_code=error.status, headers=headers)
-        data = (http.send(response) or b"") + (http.send(h11.Data(data=body)) or b"")
+        data = encode_refusal(http, error, self._resources.headers_of_refusal(self._reader.head))
+        self._resources.record_refusal(error)
         with suppress(CallerDisconnectedError):
-            await self.write([data + (http.send(END_OF_MESSAGE) or b"")])
+            await self.write([data])
 
     async def _finish_responses(self) -> None:
         """Wait for the last responses or for the caller to disconnect, then half-close."""
@@ -267,4 +292,5 @@
         for request in list(self._pending):
             if request.task is not None:
                 await request.task.cancel()
+            request.release()
         self._pending.clear()
--- a/src/kingcupusher/_http/pipeline_listener.py
+++ b/src/kingcupusher/_http/pipeline_listener.py
@@ -10,11 +10,13 @@
 from kingcupusher._core import now_ms
 from kingcupusher._core.address import Address
 from kingcupusher._http.acceptor import Acceptor
+from kingcupusher._http.caller_resources import RECEIVE_BUFFER_BYTES, CallerResources
 from kingcupusher._http.close_reason import CloseReason
 from kingcupusher._http.pipeline import PipelinedConnection, RequestHandler
 from kingcupusher._http.pipeline_limits import PipelineLimits
 
 DEADLINE_CHECK_INTERVAL_S = 0.1
+ROOM_CHECK_INTERVAL_S = 0.01
 
 CloseObserver = Callable[[PipelinedConnection], None]
 
@@ -22,7 +24,15 @@
 class PipelineListener:
     """A listening socket and its open connections; ``on_closed`` gets each that has ended."""
 
-    __slots__ = ("_acceptor", "_connections", "_handler", "_is_draining", "_limits", "_on_closed")
+    __slots__ = (
+        "_acceptor",
+        "_connections",
+        "_handler",
+        "_is_draining",
+        "_limits",
+        "_on_closed",
+        "_resources",
+    )
 
     def __init__(
         self,
@@ -31,8 +41,12 @@
         *,
         limits: PipelineLimits,
         on_closed: CloseObserver | None = None,
+        resources: CallerResources | None = None,
     ) -> None:
-        self._acceptor = Acceptor(listening, self._serve)
+        # Accepted sockets inherit the size.
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self._resources = resources or CallerResources()
+        self._acceptor = Acceptor(listening, self._serve, make_room=self._make_room)
         self._handler = handler
         self._limits = limits
         self._connections: set[PipelinedConnection] = set()
@@ -55,7 +69,9 @@
         await self._acceptor.run()
 
     async def _serve(self, sock: curio.io.Socket) -> None:
-        connection = PipelinedConnection(sock, limits=self._limits, handler=self._handler)
+        connection = PipelinedConnection(
+            sock, limits=self._limits, handler=self._handler, resources=self._resources
+        )
         connection.is_draining = self._is_draining
         self._connections.add(connection)
         try:
@@ -66,6 +82,21 @@
                 self._on_closed(connection)
             await sock.close()
 
+    async def _make_room(self) -> None:
+        """Wait until one more connection may be accepted; close the one idle for longest for it.
+
+        Without idle ones, new connections wait in the kernel's backlog: closing a connection with a
+        request would leave its caller without a response.
+        """
+        # The connection that was accepted last has to be counted first.
+        await curio.sleep(0)
+        while len(self._connections) >= self._resources.connection_limit:
+            idle = [connection for connection in self._connections if connection.is_idle]
+            for connection in sorted(idle, key=lambda connection: connection.idle_since_ms):
+                if await connection.close_if_unused():
+                    break
+            await curio.sleep(ROOM_CHECK_INTERVAL_S if not idle else 0)
+
     def start_drain(self) -> None:
         """Send ``Connection: close`` with the last response on each connection."""
         self._is_draining = True
