Reject status codes outside 100 to 599

Cause: h11 accepts any status code of three digits, so that 600 and 999 reached the caller, and a load probe with such a status counted as a reading.

Change: a connection to a target, and the client for health probes, treat such a status like a malformed response.

--- a/src/kingcupusher/_http/client_connection.py
+++ b/src/kingcupusher/_http/client_connection.py
@@ -18,6 +18,7 @@
     ExchangeError,
     ResetError,
 )
+from kingcupusher._http.framing import is_status_valid
 from kingcupusher._http.heads import HeaderList, trusted_headers
 from kingcupusher._http.sending import send_all
 from kingcupusher._http.tcp import connect
@@ -25,6 +26,7 @@
 READ_BYTES = 65_536
 RECEIVE_BUFFER_BYTES = 65_536
 """Bytes that a target sends without being asked are held by the kernel, for each connection."""
+RESPONSE_TYPES = (h11.Response, h11.InformationalResponse)
 END_OF_MESSAGE = h11.EndOfMessage()
 PLACEHOLDER_HEADERS = [(b"host", b"unused")]
 
@@ -103,6 +105,8 @@
             raise error_type(f"invalid response from {self.address}: {error}") from None
         if type(event) is h11.ConnectionClosed:
             raise ResetError(f"{self.address} closed the connection before its response ended")
+        if isinstance(event, RESPONSE_TYPES) and not is_status_valid(event.status_code):
+            raise ExchangeError(f"{self.address} sent the status code {event.status_code}")
         return event
 
     async def receive(self) -> None:
--- a/src/kingcupusher/_http/framing.py
+++ b/src/kingcupusher/_http/framing.py
@@ -6,6 +6,7 @@
 
 MAX_INTERIM_RESPONSES = 16
 """A target that sends more of them before a response is considered broken."""
+MIN_STATUS, MAX_STATUS = 100, 599
 BODILESS_STATUS = frozenset({204, 304})
 CONFLICTING_LENGTHS = "both Content-Length and Transfer-Encoding are given"
 
@@ -28,6 +29,11 @@
     return None
 
 
+def is_status_valid(status: int) -> bool:
+    """Whether ``status`` is a status code; h11 also accepts others of three digits."""
+    return MIN_STATUS <= status <= MAX_STATUS
+
+
 def invalid_framing_reason(response: ResponseHead, method: bytes) -> str | None:
     """Return why the end of ``response`` is ambiguous, or ``None``.
 
--- a/src/kingcupusher/_http/simple_client.py
+++ b/src/kingcupusher/_http/simple_client.py
@@ -12,7 +12,7 @@
 from kingcupusher._core import now_ms
 from kingcupusher._core.address import Address
 from kingcupusher._http.errors import ConnectError, DeadlineError, ExchangeError
-from kingcupusher._http.framing import MAX_INTERIM_RESPONSES
+from kingcupusher._http.framing import MAX_INTERIM_RESPONSES, is_status_valid
 from kingcupusher._http.tcp import connect, enable_tcp_keepalive
 
 RECEIVE_BYTES = 65_536
@@ -131,6 +131,8 @@
                 raise h11.RemoteProtocolError("only interim responses were sent")
         elif isinstance(event, h11.Response):
             status = event.status_code
+            if not is_status_valid(status):
+                raise h11.RemoteProtocolError(f"the status code is {status}")
             headers = list(event.headers)
         elif isinstance(event, h11.Data):
             body += event.data
--- a/testing/features/steps/proxy_steps.py
+++ b/testing/features/steps/proxy_steps.py
@@ -13,6 +13,13 @@
 TINY_CHUNK, LAST_CHUNK = b"1\r\na\r\n", b"0\r\n\r\n"
 TINY_CHUNK_COUNT = 40_000
 MAX_LATE_MS = 100.0
+
+
+def raw_status_plan(status):
+    """Return a response with ``status``, which need not be a valid status code."""
+    return ResponsePlan(raw=f"HTTP/1.1 {status} x\r\ncontent-length: 2\r\n\r\nok".encode())
+
+
 TARGET_BEHAVIOURS = {
     "healthy": ResponsePlan(),
     "down": ResponsePlan(),
@@ -22,6 +29,7 @@
     "interim only": ResponsePlan(raw=b"HTTP/1.1 100 x\r\n\r\n" * 40_000),
     "a long head": ResponsePlan(raw=b"HTTP/1.1 200 OK\r\nx: " + b"a" * 1_000_000),
     "silent": ResponsePlan(silent=True),
+    **{f"status {status}": raw_status_plan(status) for status in ("000", "099", "600", "999")},
     "early": ResponsePlan(status=413, headers=((b"x-early", b"1"),)),
 }
 REQUESTS = {
