Leave requests the memory that responses and connections do not need

A caller that was refused while it sent lost the refusal, because the connection was reset after 0.5 s.

--- a/src/kingcupusher/_gateway/settings.py
+++ b/src/kingcupusher/_gateway/settings.py
@@ -6,7 +6,7 @@
 
 from kingcupusher._core.address import Address
 from kingcupusher._gateway.fleet_limits import FleetLimits
-from kingcupusher._http.caller_resources import DEFAULT_CONNECTION_LIMIT, DEFAULT_MEMORY_BYTES
+from kingcupusher._http.pipeline_limits import DEFAULT_CONNECTION_LIMIT, DEFAULT_MEMORY_BYTES
 
 
 class GatewaySettings(Struct, frozen=True, kw_only=True):
--- a/src/kingcupusher/_http/caller_resources.py
+++ b/src/kingcupusher/_http/caller_resources.py
@@ -8,12 +8,11 @@
 from kingcupusher._http.errors import BadRequestError
 from kingcupusher._http.heads import HeaderList, RequestHead, first_header_value
 from kingcupusher._http.memory_budget import MemoryBudget
+from kingcupusher._http.pipeline_limits import DEFAULT_CONNECTION_LIMIT, DEFAULT_MEMORY_BYTES
 
-DEFAULT_MEMORY_BYTES = 102_400_000
-DEFAULT_CONNECTION_LIMIT = 1_900
 SHARE_STEP_BYTES = 16_384
 SMALL_REQUEST_BYTES = 262_144
-SMALL_RESERVE_SHARE = 0.1
+SMALL_RESERVE_SHARE = 0.05
 """Part of the memory that only requests of at most ``SMALL_REQUEST_BYTES`` may use."""
 READING_BYTES = 131_072
 """Held for a body that is being read: the parser's input and the unread bytes of the socket."""
@@ -22,6 +21,8 @@
 FIELD_BYTES = 256
 """Objects of one parsed header field; a head of many short fields takes far more than its bytes."""
 RETRY_AFTER_MS = 1_000.0
+REFUSAL_LINGER_TIMEOUT_MS = 5_000.0
+"""A caller that is refused while it sends reads the refusal only when it has sent its body."""
 UNAVAILABLE_STATUS = 503
 TOO_LARGE_STATUS = 413
 
--- a/src/kingcupusher/_http/pipeline.py
+++ b/src/kingcupusher/_http/pipeline.py
@@ -13,7 +13,7 @@
 
 from kingcupusher._core import now_ms
 from kingcupusher._http.caller_request import CallerRequest
-from kingcupusher._http.caller_resources import CallerResources
+from kingcupusher._http.caller_resources import REFUSAL_LINGER_TIMEOUT_MS, CallerResources
 from kingcupusher._http.close_reason import CloseReason
 from kingcupusher._http.errors import BadRequestError, CallerDisconnectedError
 from kingcupusher._http.pipeline_limits import PipelineLimits
@@ -54,6 +54,7 @@
         "_handler",
         "_has_capacity",
         "_linger_end_ms",
+        "_linger_ms",
         "_pending",
         "_phase",
         "_reader",
@@ -85,6 +86,7 @@
         self._has_capacity = curio.Event()
         self._phase = Phase.OPEN
         self._linger_end_ms: float | None = None
+        self._linger_ms = LINGER_TIMEOUT_MS
         self.close_reason: CloseReason | None = None
         self.is_disconnected = False
         self.is_draining = False
@@ -211,7 +213,7 @@
         """Send the end of the connection and give the caller time to close first."""
         self._advance(Phase.CLOSING)
         self.close_reason = self.close_reason or CloseReason.LAST_RESPONSE
-        self._linger_end_ms = now_ms() + LINGER_TIMEOUT_MS
+        self._linger_end_ms = now_ms() + self._linger_ms
         with suppress(OSError):
             self._sock._socket.shutdown(socket.SHUT_WR)
 
@@ -245,6 +247,7 @@
                 await self._turn.wait()
         if self._phase is Phase.CLOSING or http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
+        self._linger_ms = REFUSAL_LINGER_TIMEOUT_MS
         data = encode_refusal(http, error, self._resources.headers_of_refusal(self._reader.head))
         self._resources.record_refusal(error)
         with suppress(CallerDisconnectedError):
--- a/src/kingcupusher/_http/pipeline_limits.py
+++ b/src/kingcupusher/_http/pipeline_limits.py
@@ -4,6 +4,10 @@
 
 from msgspec import Struct
 
+DEFAULT_MEMORY_BYTES = 100_000_000
+DEFAULT_CONNECTION_LIMIT = 500
+"""What an entry with 200 MB allows its callers."""
+
 
 class PipelineLimits(Struct, kw_only=True):
     """Size limits and time-outs of a connection; they may change while it is open."""
--- a/testing/features/caller_memory.feature
+++ b/testing/features/caller_memory.feature
@@ -26,3 +26,7 @@
     Given an entry with lowered limits on memory, bodies and descriptors
     Then a request with a body of the largest legal size gets status 200
     And a request with a body in chunks of one byte gets status 200
+
+  # Guards against an account that drifts from what is held, or in which large requests shut out small ones.
+  Scenario: For all sequences of requests, the account is exact and keeps room for small requests
+    Then generated requests never exceed the budget, and large ones never take the room for small ones
