--- a/src/kingcupusher/_gateway/concurrent_attempts.py
+++ b/src/kingcupusher/_gateway/concurrent_attempts.py
@@ -65,4 +65,7 @@
         """Cancel the attempts that are still in flight."""
         tasks, self._tasks = self._tasks, {}
         for task in tasks.values():
-            await task.cancel()
+            # This task may be cancelled while it waits for the first one to end.
+            await task.cancel(blocking=False)
+        for task in tasks.values():
+            await task.wait()
--- a/src/kingcupusher/_gateway/customer_quotas.py
+++ b/src/kingcupusher/_gateway/customer_quotas.py
@@ -26,8 +26,9 @@
 
 GRANT_TIMEOUT_MS = 150.0
 IDLE_S = 0.25
-"""The pool is settled this often, so that it earns nothing for entries that have left."""
+"""The pool is settled at least this often, so that it earns nothing for entries that have left."""
 POOL_INTERVAL_MS = 100.0
+"""The pool is settled at most this often while the number of linked entries does not change."""
 SEEN_WITHIN_MS = 12_000.0
 """Entries that a cut of up to 9 s separates from the lead still own their share."""
 LOG_INTERVAL_MS = 1_000.0
@@ -51,6 +52,7 @@
         "_call_wanted",
         "_catalog",
         "_link",
+        "_linked_count",
         "_log",
         "_logged_ms",
         "_metrics",
@@ -81,6 +83,7 @@
         self._tokens = QuotaTokens(rng)
         self._pool = QuotaPool()
         self._pool_ms = 0.0
+        self._linked_count = 0
         self._stated_entries = 0
         self._waiting: list[_Waiting] = []
         self._call_wanted = curio.Event()
@@ -196,6 +199,10 @@
     def _update_fleet(self) -> None:
         self._tokens.set_fleet(self._known_entries(), lead=self._link.lead, now_ms=now_ms())
 
+    def tokens(self, customer: str) -> int:
+        """Return how many requests of ``customer`` may be served before the lead is asked."""
+        return self._tokens.room(customer, now_ms=now_ms())
+
     def _known_entries(self) -> int | None:
         """Return the number of live entries, None if it is unknown."""
         current_ms = now_ms()
@@ -230,13 +237,16 @@
 
     def _update_pool(self) -> None:
         current_ms = now_ms()
-        if not self.is_needed or current_ms < self._pool_ms + POOL_INTERVAL_MS:
+        linked = len(self._server.linked_entries)
+        is_due = linked != self._linked_count or current_ms >= self._pool_ms + POOL_INTERVAL_MS
+        if not self.is_needed or not is_due:
             return
         self._pool_ms = current_ms
+        self._linked_count = linked
         live_entries = self._catalog.live_entries
         live = self._stated_entries or None
         if live_entries.is_known(now_ms=current_ms):
             live = live_entries.count_seen_within(SEEN_WITHIN_MS, now_ms=current_ms)
             self._stated_entries = 0
-        share = pool_share(len(self._server.linked_entries), live)
+        share = pool_share(linked, live)
         self._pool.set_share(share, now_ms=current_ms)
--- a/src/kingcupusher/_gateway/exchange.py
+++ b/src/kingcupusher/_gateway/exchange.py
@@ -55,6 +55,7 @@
         "_rules",
         "_route",
         "_possibly_executed_by",
+        "_ready_response",
         "_attempts",
         "_search",
         "_service",
@@ -78,6 +79,7 @@
         self._hedger: Hedger | None = None
         self._in_flight = ConcurrentAttempts()
         self._fallback_response: BufferedResponse | None = None
+        self._ready_response: BufferedResponse | None = None
         self._token = RequestToken(gateway)
 
     async def run(self) -> None:
@@ -121,6 +123,8 @@
                 with self._gateway.drain.interrupting(task):
                     return await self._serve()
         except DeadlineError:
+            if self._ready_response is not None:
+                return self._ready_response
             ready = await self._in_flight.take_completed_success()
             if ready is not None and ready.response is not None:
                 await self._record_result(ready)
@@ -184,6 +188,7 @@
                     continue
                 await self._record_result(result)
                 if result.outcome is AttemptOutcome.SUCCESS and result.response is not None:
+                    self._ready_response = result.response
                     self._end_attempts(
                         AttemptOutcome.SUPERSEDED, "another target answered first", winner=result
                     )
--- a/src/kingcupusher/_gateway/explanation.py
+++ b/src/kingcupusher/_gateway/explanation.py
@@ -27,6 +27,7 @@
 from kingcupusher._limits.announcements import TargetInstance
 from kingcupusher._routing.acceptance import MAX_GOOD_COST
 from kingcupusher._routing.selection import target_cost
+from kingcupusher._routing.version_choice import OLD_VERSION_DRAW
 
 EXPLAIN_PATH = "/explain"
 JSON_HEADERS = [(b"content-type", b"application/json")]
@@ -84,6 +85,7 @@
     is_idempotent: bool | None = None
     customer: str | None = None
     priority: int | None = None
+    quota_tokens: int | None = None
     services: list[ServiceExplanation] = []
 
 
@@ -133,10 +135,18 @@
         is_idempotent=route.is_idempotent,
         customer=customer.name if customer else None,
         priority=RouteMatch(route, inf, customer).priority,
+        quota_tokens=_quota_tokens(customer, gateway),
         services=services,
     )
 
 
+def _quota_tokens(customer: Customer | None, gateway: GatewayState) -> int | None:
+    """Return how many requests this entry may serve before it asks the lead; None if unlimited."""
+    if customer is None or not customer.has_quota or gateway.customer_quotas is None:
+        return None
+    return gateway.customer_quotas.tokens(customer.name)
+
+
 def _refusal(entry: str, refusal: ErrorResponse, *, route: Route | None = None) -> Explanation:
     return Explanation(
         entry=entry,
@@ -177,6 +187,8 @@
     client = gateway.target_clients.get(target)
     if gateway.selector.quotas.is_exhausted(client):
         return "it is paused, or this entry's share of its request rate is used up"
+    if not gateway.rollouts.allowed(target.record.service, [target], OLD_VERSION_DRAW):
+        return "a rollout keeps requests from its version"
     return "it has no recent reading, and no probe of it is left"
 
 
--- a/src/kingcupusher/_gateway/hedges.py
+++ b/src/kingcupusher/_gateway/hedges.py
@@ -23,7 +23,9 @@
 RECHECK_SHARE = 0.25
 """Share of the typical response time after which a hedge that was held back is tried again."""
 MIN_RECHECK_MS = 20.0
-FINAL_REASONS = frozenset({"max_attempts", "draining", "equal_requests_failed", "deadline"})
+FINAL_REASONS = frozenset(
+    {"max_attempts", "draining", "equal_requests_failed", "deadline", "request_ended"}
+)
 """Reasons that hold until the request ends."""
 
 
@@ -38,6 +40,7 @@
         "_has_attempts_left",
         "_hedge",
         "_hedge_check_ms",
+        "_is_cancelled",
         "_is_overdue",
         "_limit",
         "_log",
@@ -89,6 +92,7 @@
         self._typical_ms = self._expected_ms = 0.0
         self._hedge_check_ms = self._suspect_ms = inf
         self._is_overdue = False
+        self._is_cancelled = False
 
     @property
     def next_check_ms(self) -> float:
@@ -98,8 +102,9 @@
     def watch(self, attempt: Attempt) -> None:
         """Watch ``attempt``, which was just started."""
         cost = self._gateway.selector.cost(attempt.probed)
-        self._attempt, self._hedge, self._is_overdue = attempt, None, False
-        self._typical_ms = self._gateway.response_time(self._route).typical_ms
+        self._attempt, self._hedge = attempt, None
+        self._is_overdue = self._is_cancelled = False
+        self._typical_ms = max(1.0, self._gateway.response_time(self._route).typical_ms)
         self._expected_ms = self._typical_ms * max(cost, 1.0)
         self._suspect_ms = attempt.sent_ms + SUSPECT_FACTOR * self._expected_ms
         self._hedge_check_ms = attempt.sent_ms + self._relative_times.hedge_delay_ms(
@@ -120,7 +125,7 @@
             self._task = await curio.spawn(self._run, daemon=True)
         if current_ms >= self._suspect_ms:
             self._suspect_ms = inf
-            if not self._is_overloaded():
+            if not self._attempt.ended_ms and not self._is_overloaded():
                 self._attempt.penalize_target()
 
     def _is_overloaded(self) -> bool:
@@ -133,7 +138,7 @@
     def on_success(self, attempt: Attempt, *, cost: float, typical_ms: float) -> None:
         """Learn from the response to ``attempt``; ``typical_ms`` is the estimate before it."""
         elapsed_ms = attempt.ended_ms - attempt.sent_ms
-        self._relative_times.add(elapsed_ms / (typical_ms * max(cost, 1.0)))
+        self._relative_times.add(elapsed_ms / max(1.0, typical_ms * max(cost, 1.0)))
         if attempt is self._attempt and not self._is_overdue:
             self._overdue_share.record(is_overdue=False)
 
@@ -152,6 +157,7 @@
     async def cancel(self) -> None:
         """Stop a search for a target; attempts in flight are not affected."""
         self._hedge_check_ms = self._suspect_ms = inf
+        self._is_cancelled = True
         if self._task is not None:
             await self._task.cancel()
 
@@ -172,6 +178,8 @@
     def _find_obstacle(self) -> str | None:
         """Return which rule forbids a hedge now, or None."""
         remaining_ms = self._deadline_ms - now_ms()
+        if self._is_cancelled:
+            return "request_ended"
         if self._gateway.drain.is_started:
             return "draining"
         if not self._has_attempts_left():
@@ -196,6 +204,11 @@
             return "retry_budget"
         try:
             probed = await self._search.find_another(max_cost=MAX_GOOD_COST)
+            obstacle = self._find_obstacle()
+            if probed is not None and obstacle is not None:
+                # The search takes a few probes; the request may have ended meanwhile.
+                await self._gateway.selector.release([probed])
+                return obstacle
             if probed is not None:
                 self._hedge = await self._start_attempt(probed)
                 elapsed_ms = self._hedge.sent_ms - self._attempt.sent_ms
--- a/src/kingcupusher/_gateway/load_probe.py
+++ b/src/kingcupusher/_gateway/load_probe.py
@@ -114,6 +114,9 @@
         try:
             await self._collect(results, len(targets), deadline_ms)
         except BaseException:
+            # Probes that end from now on release their own connections.
+            self._is_over = True
+            await self._add_late_results(results)
             for probed in results:
                 await probed.client.pool.release(probed.connection, reusable=True)
             raise
--- a/src/kingcupusher/_gateway/selector.py
+++ b/src/kingcupusher/_gateway/selector.py
@@ -292,7 +292,8 @@
         """Claim the best target that is acceptable and still has room; None if there is none."""
         for probed in usable:
             if criteria and not self.is_acceptable(probed, criteria, is_last=is_last):
-                return None
+                # A costlier one may be acceptable because it is near.
+                continue
             if self.quotas.claim(probed, service):
                 return probed
         return None
--- a/src/kingcupusher/_gateway/wait_queue.py
+++ b/src/kingcupusher/_gateway/wait_queue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from random import Random
 
 import curio
@@ -18,13 +19,14 @@
 
 POLL_INTERVAL_S = 0.06
 POLL_PROBE_COUNT = 3
-
-
 MAX_PASSED_OVER = 8
-"""So many requests that accept none of the targets found are passed over for the next ones."""
+"""At most this many requests that accept none of the targets found are passed over in a round."""
 FASTEST_SHARE = 0.5
-"""Share of the usual time in which a request may be completed: the usual time is a mean, and half
-of it admits those requests that are much faster than the others of their route."""
+"""A request still waits if this share of its usual time fits before its deadline: the usual time is
+a mean, and some requests are much faster than the others of their route."""
+REFUSAL_MARGIN = 2.0
+"""A request is refused on arrival if its forecast exceeds its wait by this factor: some of those
+before it leave without a target when their own wait ends."""
 
 
 class WaitingRequest:
@@ -35,6 +37,7 @@
         "criteria",
         "customer",
         "deadline_ms",
+        "late_at_ms",
         "priority",
         "received_ms",
         "typical_ms",
@@ -59,11 +62,10 @@
         self.typical_ms = typical_ms
         self.wakeup = curio.Event()
         self.assigned: ProbedTarget | None = None
-
-    @property
-    def late_at_ms(self) -> float:
-        """Time after which the request cannot meet its objective any more."""
-        return self.criteria.objective_end_ms - self.typical_ms
+        self.late_at_ms = criteria.objective_end_ms - typical_ms
+        if customer is not None and self.late_at_ms <= now_ms():
+            # It would wait behind all requests in time of other customers.
+            self.late_at_ms = inf
 
     @property
     def wait_until_ms(self) -> float:
@@ -115,7 +117,7 @@
         min_wait_ms = self._forecast.min_wait_ms(ahead, now_ms=current_ms)
         if not request.is_in_time:
             response = deadline_unreachable(self._retry_after_ms(request, ahead, current_ms))
-        elif ahead and current_ms + min_wait_ms > request.wait_until_ms:
+        elif ahead and min_wait_ms > REFUSAL_MARGIN * (request.wait_until_ms - current_ms):
             response = queue_full(self._retry_after_ms(request, ahead, current_ms))
         else:
             return None
@@ -162,8 +164,8 @@
     async def _run(self) -> None:
         try:
             while self._order:
-                await self._assign_targets()
                 self._capacity_freed.clear()
+                await self._assign_targets()
                 await curio.ignore_after(POLL_INTERVAL_S, self._capacity_freed.wait)
         finally:
             self._dispatcher = None
--- a/src/kingcupusher/_limits/quota_pool.py
+++ b/src/kingcupusher/_limits/quota_pool.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from math import exp, floor, inf
 
-from kingcupusher._limits.quota_terms import QuotaLimit, TokenAnswer, TokenWish
+from kingcupusher._limits.quota_terms import EXTRA_BURST, QuotaLimit, TokenAnswer, TokenWish
 
 ASSUMED_ENTRIES = 32
 MAX_UNKNOWN_SHARE = 0.6
@@ -18,6 +18,8 @@
 MAX_REFUSE_MS = 1_000.0
 MAX_SPREAD_MS = 3_000.0
 BACKLOG_DECAY_MS = 1_000.0
+NEW_POOL_MS = 5_000.0
+"""A younger pool knows nothing of the tokens that an earlier lead granted in the same window."""
 MAX_DEBT = 2.0
 """Debt of a customer in units of its capacity, in which late reports are still counted."""
 
@@ -35,9 +37,9 @@
 class _Bucket:
     __slots__ = ("backlog", "level", "limit", "settled_ms")
 
-    def __init__(self, limit: QuotaLimit, *, now_ms: float) -> None:
+    def __init__(self, limit: QuotaLimit, *, level: float, now_ms: float) -> None:
         self.limit = limit
-        self.level = 0.0
+        self.level = level
         self.backlog = 0.0
         self.settled_ms = now_ms
 
@@ -49,25 +51,34 @@
         self.settled_ms = now_ms
 
     def charge(self, used: int, share: float) -> None:
-        capacity = self.limit.capacity(share)
-        self.level = max(-MAX_DEBT * capacity, min(capacity, self.level - used))
+        # Entries report to a new lead before all are linked, so the debt does not depend on them.
+        debt = MAX_DEBT * self.limit.capacity(1.0)
+        self.level = max(-debt, min(self.limit.capacity(share), self.level - used))
 
 
 class QuotaPool:
-    """Grants the tokens of the entries that are linked to this lead; it starts empty."""
+    """Grants the tokens of the entries that are linked to this lead; it starts empty.
 
-    __slots__ = ("_buckets", "_scarce", "_scarce_until_ms", "_share")
+    A customer that is added later begins with a small burst, so that it is not refused at first.
+    """
+
+    __slots__ = ("_buckets", "_scarce", "_scarce_until_ms", "_share", "_since_ms")
 
     def __init__(self) -> None:
         self._buckets: dict[str, _Bucket] = {}
         self._share = 0.0
+        self._since_ms: float | None = None
         self._scarce: list[str] = []
         self._scarce_until_ms = -inf
 
     def set_limits(self, limits: Mapping[str, QuotaLimit], *, now_ms: float) -> None:
         """Apply the limits in force; tokens beyond a lower burst are lost at once."""
+        if self._since_ms is None:
+            self._since_ms = now_ms
+        is_new = now_ms < self._since_ms + NEW_POOL_MS
+        level = 0.0 if is_new else EXTRA_BURST * self._share
         self._buckets = {
-            name: self._buckets.get(name) or _Bucket(limit, now_ms=now_ms)
+            name: self._buckets.get(name) or _Bucket(limit, level=level, now_ms=now_ms)
             for name, limit in limits.items()
         }
         self._scarce_until_ms = -inf
--- a/src/kingcupusher/_limits/quota_tokens.py
+++ b/src/kingcupusher/_limits/quota_tokens.py
@@ -34,7 +34,6 @@
 class Verdict(Enum):
     """Decision on one request."""
 
-    TAKEN = "taken"
     REFUSED = "refused"
     ASK = "ask"
 
@@ -163,6 +162,7 @@
                 # in the same window. Other tokens belong to the pool of the former lead.
                 for account in self._accounts.values():
                     account.used = max(0, min(account.used, account.advanced))
+                    account.refuse_until_ms = -inf
                 self._lead = lead
                 self._has_failed = False
             self._counted_until_ms = now_ms + COUNTED_MS
@@ -192,7 +192,8 @@
             account.used += 1
             self._report_at_ms = min(self._report_at_ms, now_ms + REPORT_MS)
             return TakenToken(customer, is_charged=True)
-        if self._is_lead_usable and account.unknown_until_ms <= now_ms:
+        may_ask = self._is_lead_usable or (self._is_linked and now_ms >= self._retry_call_ms)
+        if may_ask and account.unknown_until_ms <= now_ms:
             return Verdict.ASK
         self._report_at_ms = min(self._report_at_ms, self._retry_call_ms)
         return self.take_own(customer, now_ms=now_ms)
@@ -324,9 +325,9 @@
                 account.advanced += max(0, wish.used)
         if self._is_lead_usable:
             self._own_since_ms = now_ms
-        self._answered_ms = -inf
         self._has_failed = True
         self._retry_call_ms = now_ms + RETRY_CALL_MS
+        self._report_at_ms = min(self._report_at_ms, self._retry_call_ms)
 
     # -- details
 
--- a/src/kingcupusher/_relay/lead_link.py
+++ b/src/kingcupusher/_relay/lead_link.py
@@ -43,7 +43,7 @@
 
 
 class LeadLink:
-    """Keeps a link to the lead while ``is_needed`` tells so."""
+    """Keeps a link to the lead while ``is_needed()`` is true."""
 
     __slots__ = (
         "_avoid_until_ms",
@@ -52,6 +52,7 @@
         "_entry",
         "_is_needed",
         "_last_call_id",
+        "_lost_link_to",
         "_on_event",
         "_replies",
         "_send_lock",
@@ -79,6 +80,7 @@
         self._replies: dict[int, curio.Queue] = {}
         self._last_call_id = NO_REPLY
         self._avoid_until_ms: dict[str, float] = {}
+        self._lost_link_to: str | None = None
         self.lead: str | None = None
         """Name of the linked lead, None without a link."""
         self.counters = ByteCounters()
@@ -130,14 +132,16 @@
     def _select_lead(self) -> ReaderSeen | None:
         current_ms = now_ms()
         readers = sorted(self._catalog.readers.values(), key=lambda reader: reader.slot)
-        usable = [r for r in readers if self._avoid_until_ms.get(r.entry, -inf) <= current_ms]
-        return next(iter(usable or readers), None)
+        for reader in readers:
+            if self._avoid_until_ms.get(reader.entry, -inf) <= current_ms:
+                return reader
+        return min(readers, key=lambda reader: self._avoid_until_ms[reader.entry], default=None)
 
     async def _lead_itself(self) -> None:
         self._set_lead(self._entry)
         self._server.link(self._entry)
         try:
-            while self._is_current(self._entry):
+            while self._is_own_turn():
                 await curio.sleep(CHECK_INTERVAL_S)
         finally:
             self._server.unlink(self._entry)
@@ -146,24 +150,57 @@
     async def _run_link(self, reader: ReaderSeen) -> None:
         reason = ""
         try:
-            async with curio.timeout_after(DIAL_TIMEOUT_S):
-                own = PeerIdentity(0, 0)
-                connection = await dial(reader.address, own=own, seat=0, counters=self.counters)
+            connection = await self._dial(reader)
             try:
                 await self._use(connection, reader.entry)
             finally:
                 self._connection = None
                 self._set_lead(None)
                 await connection.close()
-        except (OSError, HandshakeError, LinkClosedError, MessageError) as error:
+        except LinkClosedError as error:
+            if self._lost_link_to != reader.entry:
+                # A lead closes the link of an entry that was frozen; it may be as good as before.
+                self._lost_link_to = reader.entry
+                return
+            reason = str(error)
+        except (OSError, HandshakeError, MessageError) as error:
             reason = str(error)
         except (curio.TaskTimeout, LeadUnavailableError):
             reason = "timed out"
         if reason:
-            self._avoid_until_ms[reader.entry] = now_ms() + AVOID_AFTER_LOSS_MS
-            self._on_event("lead link lost", lead=reader.entry, reason=reason)
+            self._avoid(reader, reason)
             await curio.sleep(CHECK_INTERVAL_S)
 
+    async def _dial(self, reader: ReaderSeen) -> Connection:
+        async with curio.timeout_after(DIAL_TIMEOUT_S):
+            own = PeerIdentity(0, 0)
+            return await dial(reader.address, own=own, seat=0, counters=self.counters)
+
+    def _avoid(self, reader: ReaderSeen, reason: str) -> None:
+        self._avoid_until_ms[reader.entry] = now_ms() + AVOID_AFTER_LOSS_MS
+        self._on_event("lead link lost", lead=reader.entry, reason=reason)
+
+    async def _may_stay(self, lead: str) -> bool:
+        """Return whether ``lead`` is to be used further.
+
+        A link is given up for a lower reader slot only if that reader can be reached.
+        """
+        reader = self._select_lead() if self._is_needed() else None
+        if reader is None or reader.entry == lead:
+            return reader is not None
+        if reader.entry == self._entry or lead not in self._reader_names():
+            return False
+        try:
+            connection = await self._dial(reader)
+        except (OSError, HandshakeError, curio.TaskTimeout) as error:
+            self._avoid(reader, str(error) or "timed out")
+            return True
+        await connection.close()
+        return False
+
+    def _reader_names(self) -> set[str]:
+        return {reader.entry for reader in self._catalog.readers.values()}
+
     async def _use(self, connection: Connection, lead: str) -> None:
         """Send pings until the lead is not needed, is replaced, or does not reply."""
         async with curio.timeout_after(SEND_TIMEOUT_S):
@@ -173,11 +210,12 @@
         receiver = await curio.spawn(self._receive, connection, daemon=True)
         try:
             ping_ms = now_ms()
-            while self._is_current(lead):
+            while await self._may_stay(lead):
                 if receiver.terminated:
                     raise LinkClosedError(f"the link to {lead} was closed")
                 if now_ms() >= ping_ms:
                     await self.ask(LeadPing(), timeout_ms=PING_TIMEOUT_MS)
+                    self._lost_link_to = None
                     ping_ms = now_ms() + PING_INTERVAL_S * 1000.0
                 await curio.sleep(CHECK_INTERVAL_S)
         finally:
@@ -203,10 +241,10 @@
         except (LinkClosedError, curio.TaskTimeout) as error:
             raise LeadUnavailableError(f"cannot send to the lead: {error}") from error
 
-    def _is_current(self, lead: str) -> bool:
-        """Return whether ``lead`` is needed and still the reader to use."""
+    def _is_own_turn(self) -> bool:
+        """Return whether a lead is needed and this entry still holds the lowest reader slot."""
         reader = self._select_lead() if self._is_needed() else None
-        return reader is not None and reader.entry == lead
+        return reader is not None and reader.entry == self._entry
 
     def _set_lead(self, lead: str | None) -> None:
         if lead != self.lead:
--- a/src/kingcupusher/_relay/reader_slots.py
+++ b/src/kingcupusher/_relay/reader_slots.py
@@ -31,8 +31,9 @@
 MIN_SEARCH_INTERVAL_MS = 800.0
 """Shortest interval between stale reads of the slots while no reader is known; the longest is one
 and a half times as long. An entry that finds no reader would watch the store itself."""
-SUBSCRIPTION_DELAY_MS = 5_000.0
-"""Time for subscribers to connect to a new reader; one without any is the only entry."""
+SUBSCRIPTION_DELAY_MS = 6_500.0
+"""Time for subscribers to connect to a new reader and to be listed, which takes 5 s; a reader
+without any is the only entry."""
 REQUIRED_LINK_MBPS = 20.0
 """A reader for 80 entries sends 2 Mbit/s on average, and several times that in a burst."""
 
--- a/src/kingcupusher/_relay/server.py
+++ b/src/kingcupusher/_relay/server.py
@@ -9,6 +9,7 @@
 from kingcupusher._core.connection_server import serve_connections
 from kingcupusher._core.startup import listen
 from kingcupusher._discovery import NO_POSITION, Catalog, StoreFollower, StorePosition
+from kingcupusher._http.tcp import enable_tcp_keepalive
 from kingcupusher._peers.connection import ByteCounters, Connection, PeerIdentity, accept
 from kingcupusher._peers.errors import HandshakeError, LinkClosedError, MessageError
 from kingcupusher._relay.lead_server import LeadServer
@@ -89,25 +90,32 @@
         await serve_connections(listen(self._address, backlog=BACKLOG), self._on_client)
 
     async def _on_client(self, sock: curio.io.Socket) -> None:
+        # A VM that lost power sends no reset, and subscribers send only one message.
+        enable_tcp_keepalive(sock)
         try:
             async with curio.timeout_after(HANDSHAKE_TIMEOUT_S):
                 own = PeerIdentity(0, 0)
                 connection = await accept(sock, own=own, counters=self.counters)
-                first = await self._receive_first(connection)
+                first, rest = await self._receive_first(connection)
             if isinstance(first, LeadHello):
-                await self._lead_server.serve(connection, first.entry)
+                await self._lead_server.serve(connection, first.entry, received=rest)
             else:
                 await self._serve(connection, _Subscriber(first))
         except (HandshakeError, LinkClosedError, MessageError, curio.TaskTimeout, OSError):
             return
 
-    async def _receive_first(self, connection: Connection) -> Subscribe | LeadHello:
+    async def _receive_first(
+        self, connection: Connection
+    ) -> tuple[Subscribe | LeadHello, list[bytes]]:
+        """Return the first message, and those that came together with it."""
         while True:
-            for data in await connection.receive():
-                message = decode_message(data)
-                if isinstance(message, Subscribe | LeadHello):
-                    return message
-                raise MessageError("the first message must be a subscription or a lead hello")
+            received = await connection.receive()
+            if not received:
+                continue
+            message = decode_message(received[0])
+            if isinstance(message, Subscribe | LeadHello):
+                return message, received[1:]
+            raise MessageError("the first message must be a subscription or a lead hello")
 
     async def _serve(self, connection: Connection, subscriber: _Subscriber) -> None:
         if not self._subscribers:
--- a/testing/features/concurrent_attempts.feature
+++ b/testing/features/concurrent_attempts.feature
@@ -25,3 +25,9 @@
     Given attempts that end after 5 and 500 ms
     And attempt 0 raises an error
     Then waiting for a result raises that error
+
+  Scenario: All attempts are cancelled although the request is cancelled meanwhile
+    Then two attempts that end slowly are both cancelled when their request is cancelled during the first
+
+  Scenario: A cancelled round of load probes keeps no connection
+    Then a probe that responds while its round is cancelled returns its connection to the pool
--- a/testing/features/customers.feature
+++ b/testing/features/customers.feature
@@ -45,6 +45,7 @@
       | problem                       |
       | a key of two customers        |
       | customers in a list           |
+      | a list around it              |
       | a customer that is a number   |
       | keys that are a text          |
       | a key that is a number        |
--- a/testing/features/lead_link.feature
+++ b/testing/features/lead_link.feature
@@ -14,6 +14,21 @@
       | without a slot            | is replaced by an entry r9  | r9    |
       | that is itself in slot 0  | goes on                     | entry |
 
+  Scenario Outline: A link that <event> is not lost for long
+    Given readers in the slots 0, 1 and 2, and an entry without a slot
+    When the reader in slot 0 goes on
+    Then the entry, whose link <event>, is linked to r0 <after>, and no reader is avoided
+
+    Examples: the first ping may arrive together with the first message of the link
+      | event                   | after                 |
+      | is used for 2 s         | all the time          |
+      | is closed by the reader | within 1 s            |
+
+  Scenario: A link is not given up for a reader that cannot be reached
+    Given readers in the slots 0, 1 and 2, and an entry without a slot
+    When the reader in slot 0 ends
+    Then the entry stays linked to r1 while r0 is tried again
+
   Scenario: A lead knows which entries are linked, and forgets those that are silent
     Given readers in the slots 0, 1 and 2, and an entry without a slot
     When the reader in slot 0 goes on
--- a/testing/features/queue_order.feature
+++ b/testing/features/queue_order.feature
@@ -48,6 +48,6 @@
     Then a request is refused instead of waiting if its deadline is nearer than its usual time
 
   Scenario: A full queue refuses at once, with a true Retry-After, and a request alone waits
-    When 8 callers send a lookup to an entry that assigned 4 targets a second and has none now
+    When 16 callers send a lookup to an entry that assigned 4 targets a second and has none now
     Then some get status 503 before the first wait ends, with a Retry-After that follows from the rate
     And no target ran a refused one, and the metrics and the log show why
--- a/testing/features/steps/concurrent_attempts_steps.py
+++ b/testing/features/steps/concurrent_attempts_steps.py
@@ -9,6 +9,7 @@
 
 from kingcupusher._gateway.attempt import AttemptOutcome, AttemptResult
 from kingcupusher._gateway.concurrent_attempts import ConcurrentAttempts
+from kingcupusher._gateway.load_probe import ProbedTarget, _ProbeRound
 
 
 class TimedAttempt:
@@ -91,3 +92,73 @@
         return None
 
     assert _with_attempts(context, read) is context.attempts[0].error
+
+
+class StubbornAttempt(TimedAttempt):
+    """An attempt that needs a moment to end after its cancellation."""
+
+    async def run(self, *, deadline_ms):
+        """Wait until cancelled, then for a moment."""
+        try:
+            return await super().run(deadline_ms=deadline_ms)
+        finally:
+            async with curio.disable_cancellation():
+                await curio.sleep(0.05)
+
+
+@then(
+    "two attempts that end slowly are both cancelled when their request is cancelled during the"
+    " first"
+)
+def then_both_cancelled(context):
+    stubborn = [StubbornAttempt(60_000), StubbornAttempt(60_000)]
+
+    async def main():
+        attempts = ConcurrentAttempts()
+        for attempt in stubborn:
+            await attempts.start(attempt, deadline_ms=inf)
+        await curio.sleep(0.01)
+        request = await curio.spawn(attempts.cancel_running)
+        await curio.sleep(0.01)
+        await request.cancel()
+        await curio.sleep(0.2)
+        assert all(attempt.was_cancelled for attempt in stubborn)
+
+    curio.run(main)
+
+
+class InterruptedRound(_ProbeRound):
+    """A probe round that is cancelled in the turn in which a response is queued."""
+
+    async def _collect(self, results, count, deadline_ms):
+        await self._results.put(self.probed)
+        raise curio.CancelledError
+
+
+class FakeClient:
+    """A client of a target that is also its connection pool."""
+
+    def __init__(self):
+        self.pool = self
+        self.released = []
+
+    async def release(self, connection, *, reusable):
+        """Record that ``connection`` is returned."""
+        self.released.append((connection, reusable))
+
+
+@then("a probe that responds while its round is cancelled returns its connection to the pool")
+def then_connection_returned(context):
+    client = FakeClient()
+
+    async def main():
+        round_ = InterruptedRound(None, None, b"/health", None)
+        round_.probed = ProbedTarget(client, "connection", None)
+        try:
+            await round_.run([], deadline_ms=inf)
+        except curio.CancelledError:
+            return
+        raise AssertionError("the cancellation was lost")
+
+    curio.run(main)
+    assert client.released == [("connection", True)], client.released
--- a/testing/features/steps/customer_steps.py
+++ b/testing/features/steps/customer_steps.py
@@ -222,12 +222,18 @@
     ).encode()
 
 
+def _broken_configuration(problem):
+    if problem == "a list around it":
+        return b"[" + _configuration({"a": {"apiKeys": [SECRET]}}) + b"]"
+    return _configuration(PROBLEMS[problem])
+
+
 @then("a configuration with {problem} is refused, and the reason contains no key")
 def then_refused(context, problem):
     problems = []
     change = decode_item(
         CONFIG_KEY,
-        _configuration(PROBLEMS[problem]),
+        _broken_configuration(problem),
         lease=0,
         on_problem=lambda event, **fields: problems.append((event, fields)),
     )
--- a/testing/features/steps/lead_link_steps.py
+++ b/testing/features/steps/lead_link_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+
 import curio
 from behave import given, then, when
 
@@ -171,6 +173,35 @@
     _run(context, check)
 
 
+@then("the entry, whose link {event}, is linked to r0 {after}, and no reader is avoided")
+def then_not_lost(context, event, after):
+    async def check(world):
+        await _until(lambda: world.link.lead == "r0")
+        if event == "is used for 2 s":
+            for _ in range(20):
+                assert world.link.lead == "r0", world.link.lead
+                await curio.sleep(0.1)
+        else:
+            world.link._connection._sock._socket.shutdown(socket.SHUT_RDWR)
+            await _until(lambda: world.link.lead != "r0")
+            await _until(lambda: world.link.lead == "r0", within_s=1.0)
+        assert not world.link._avoid_until_ms, world.link._avoid_until_ms
+
+    _run(context, check)
+
+
+@then("the entry stays linked to r1 while r0 is tried again")
+def then_stays(context):
+    async def check(world):
+        await _until(lambda: world.link.lead == "r1")
+        world.link._avoid_until_ms.clear()
+        await _until(lambda: world.link._avoid_until_ms)
+        assert world.link.lead == "r1", world.link.lead
+        assert await world.link.ask(LeadPing(), timeout_ms=1_000.0) == LeadPing()
+
+    _run(context, check)
+
+
 @then("the reader in slot 0 counts the entry, and no longer 3 s after it fell silent")
 def then_counted(context):
     async def check(world):
--- a/testing/features/steps/wait_forecast_steps.py
+++ b/testing/features/steps/wait_forecast_steps.py
@@ -124,7 +124,7 @@
 
 
 @when(
-    "8 callers send a lookup to an entry that assigned {per_s:d} targets a second and has none now"
+    "16 callers send a lookup to an entry that assigned {per_s:d} targets a second and has none now"
 )
 def when_full(context, per_s):
     async def call(fixture, number, ended):
@@ -138,7 +138,7 @@
             queue._forecast = _forecast(per_s, until_ms=now_ms())
             context.ended = []
             async with curio.TaskGroup() as group:
-                for number in range(8):
+                for number in range(16):
                     await group.spawn(call, fixture, number, context.ended)
                     await curio.sleep(0.01)
             context.log_text = fixture.log_text()
