--- a/src/kingcupusher/_gateway/process.py
+++ b/src/kingcupusher/_gateway/process.py
@@ -15,19 +15,17 @@
 from kingcupusher._discovery import NO_POSITION, Catalog, StoreFollower
 from kingcupusher._gateway.customer_quotas import CustomerQuotas
 from kingcupusher._gateway.exchange import Exchange
-from kingcupusher._gateway.explanation import EXPLAIN_PATH, respond_to_question
 from kingcupusher._gateway.header_codec import HeaderCodec
 from kingcupusher._gateway.platform_store import PlatformStore
 from kingcupusher._gateway.rollouts import Rollouts
 from kingcupusher._gateway.settings import GatewaySettings
 from kingcupusher._gateway.state import GatewayState
+from kingcupusher._gateway.status_pages import StatusPages
 from kingcupusher._http.caller_request import CallerRequest
 from kingcupusher._http.close_reason import CloseReason
 from kingcupusher._http.pipeline import PipelinedConnection
 from kingcupusher._http.pipeline_limits import PipelineLimits
 from kingcupusher._http.pipeline_listener import PipelineListener
-from kingcupusher._http.simple_client import Response
-from kingcupusher._http.simple_server import Request, serve
 from kingcupusher._observe.events import EventLog
 from kingcupusher._observe.metrics_registry import Labels, labels
 from kingcupusher._observe.runtime_log import log_runtime_messages
@@ -40,7 +38,6 @@
 )
 
 MAINTENANCE_INTERVAL_S = 0.5
-METRICS_PATH = "/metrics"
 DRAIN_POLL_INTERVAL_S = 0.02
 TASK_RESTART_DELAY_S = 0.5
 MAX_TRACEBACK_CHARS = 2_000
@@ -88,6 +85,7 @@
         "_relay",
         "_reload_settings",
         "_rollouts",
+        "_status_pages",
         "_store",
         "_subscriptions",
     )
@@ -166,6 +164,8 @@
             seeds=settings.seeds,
             on_event=self._gateway.on_event,
         )
+        self._status_pages = StatusPages(self._gateway, is_ready=lambda: self.is_ready)
+        self._gateway.metrics.add_gauges(self._gauges)
         self._listener: PipelineListener | None = None
         catalog.listeners.append(self._on_catalog_event)
 
@@ -199,8 +199,8 @@
             self._subscriptions.run,
             self._lead_link.run,
             self._customer_quotas.run,
-            self._run_readiness_server,
-            self._run_metrics_server,
+            self._status_pages.run_readiness_server,
+            self._status_pages.run_metrics_server,
             self._run_maintenance,
             self._gateway.crash_reports.run,
             self._rollouts.run_reports,
@@ -258,21 +258,6 @@
         """Return whether a quota or a rollout is decided for the whole fleet now."""
         return self._customer_quotas.is_needed or self._gateway.catalog.rollouts.needs_lead
 
-    async def _run_readiness_server(self) -> None:
-        await serve(self._gateway.settings.readiness_address, self._handle_readiness)
-
-    async def _run_metrics_server(self) -> None:
-        self._gateway.metrics.add_gauges(self._gauges)
-        await serve(self._gateway.settings.metrics_address, self._handle_metrics)
-
-    async def _handle_metrics(self, request: Request) -> Response:
-        if request.path == EXPLAIN_PATH:
-            return respond_to_question(request, self._gateway)
-        if request.path != METRICS_PATH:
-            return Response(404, [], b"")
-        headers = [(b"content-type", b"text/plain; version=0.0.4; charset=utf-8")]
-        return Response(200, headers, self._gateway.metrics.render())
-
     def _gauges(self) -> dict[tuple[str, Labels], float]:
         current_ms = now_ms()
         position = self._follower.position or NO_POSITION
@@ -293,9 +278,6 @@
             }
         )
 
-    async def _handle_readiness(self, request: Request) -> Response:  # noqa: ARG002
-        return Response(200 if self.is_ready else 503, [], b"")
-
     async def _run_maintenance(self) -> None:
         while True:
             await curio.sleep(MAINTENANCE_INTERVAL_S)
--- a/src/kingcupusher/_gateway/request_log.py
+++ b/src/kingcupusher/_gateway/request_log.py
@@ -5,7 +5,7 @@
 from kingcupusher._core import now_ms
 from kingcupusher._gateway.attempt import Attempt, AttemptResult
 from kingcupusher._gateway.load_probe import ProbedTarget
-from kingcupusher._gateway.selector import ProbeResults
+from kingcupusher._gateway.probe_results import ProbeResults
 from kingcupusher._gateway.wait_queue import Refusal
 from kingcupusher._observe.events import EventLog
 from kingcupusher._observe.metrics_registry import Metrics, labels
--- a/src/kingcupusher/_gateway/selector.py
+++ b/src/kingcupusher/_gateway/selector.py
@@ -11,6 +11,7 @@
 from kingcupusher._gateway.fleet_limits import FleetLimits
 from kingcupusher._gateway.load_probe import LoadProber, ProbedTarget
 from kingcupusher._gateway.probe_allowance import BURST_S, ProbeAllowance
+from kingcupusher._gateway.probe_results import ProbeResults
 from kingcupusher._gateway.request_quotas import RequestQuotas
 from kingcupusher._gateway.rollout_traffic import RolloutTraffic
 from kingcupusher._gateway.target_clients import TargetClient, TargetClients
@@ -36,25 +37,6 @@
 """Used share of a target's connections; a target with a long queue accepts fewer."""
 
 
-class ProbeResults:
-    """Usable targets, best first; whoever receives them must release their connections."""
-
-    __slots__ = ("response_count", "usable", "probed_count", "elapsed_ms")
-
-    def __init__(
-        self,
-        usable: list[ProbedTarget],
-        *,
-        probed_count: int,
-        response_count: int,
-        elapsed_ms: float,
-    ) -> None:
-        self.usable = usable
-        self.probed_count = probed_count
-        self.response_count = response_count
-        self.elapsed_ms = elapsed_ms
-
-
 class _Candidate:
     """A target with the properties that determine its position in the probe order."""
 
--- a/testing/features/steps/explain_steps.py
+++ b/testing/features/steps/explain_steps.py
@@ -5,7 +5,6 @@
 import os
 import socket
 import threading
-from types import SimpleNamespace
 
 import curio
 import msgspec
@@ -18,7 +17,7 @@
 from kingcupusher._discovery import Customer, TargetSeen
 from kingcupusher._discovery.customer_keys import key_digest
 from kingcupusher._gateway.explanation import EXPLAIN_PATH, Explanation, respond_to_question
-from kingcupusher._gateway.process import GatewayProcess
+from kingcupusher._gateway.status_pages import StatusPages
 from kingcupusher._http.simple_server import Request, serve
 from kingcupusher._limits.announcements import Announcement
 from kingcupusher._routing.load_reading import LoadReading
@@ -147,12 +146,8 @@
     async def serve_entry():
         async with GatewayFixture(**context.options) as fixture:
 
-            async def handle(request):
-                # The handler of the metrics address needs nothing else of the process.
-                process = SimpleNamespace(_gateway=fixture.gateway)
-                return await GatewayProcess._handle_metrics(process, request)
-
-            server = await curio.spawn(serve, address, handle)
+            pages = StatusPages(fixture.gateway, is_ready=lambda: True)
+            server = await curio.spawn(serve, address, pages.handle_metrics)
             await stop.wait()
             await server.cancel()
 
