Reword names and comments that stopped a newcomer

Cause: a reader who had not seen the work listed places in the change that did not explain themselves.

No behaviour changes.

Result: lint is clean; explain, queue_order, large_responses, documentation and gateway features pass.

--- a/src/kingcupusher/_cli/explain.py
+++ b/src/kingcupusher/_cli/explain.py
@@ -73,7 +73,7 @@
         explanation = msgspec.json.decode(response.body, type=Explanation)
     except (HttpError, msgspec.MsgspecError) as error:
         fail(
-            f"the entry {entry} explains nothing: {error}",
+            f"cannot get an explanation from the entry {entry}: {error}",
             fix="pass the address of the entry's metrics",
             code=ExitCode.UNAVAILABLE,
         )
--- a/src/kingcupusher/_gateway/customer_quotas.py
+++ b/src/kingcupusher/_gateway/customer_quotas.py
@@ -13,7 +13,7 @@
 from kingcupusher._gateway.error_responses import ErrorResponse, quota_used_up
 from kingcupusher._limits.quota_pool import QuotaPool, pool_share
 from kingcupusher._limits.quota_terms import QuotaLimit
-from kingcupusher._limits.quota_tokens import QuotaTokens, TakenToken, Verdict
+from kingcupusher._limits.quota_tokens import QuotaDecision, QuotaTokens, TakenToken
 from kingcupusher._observe.events import EventLog
 from kingcupusher._observe.metrics_registry import Labels, Metrics, labels
 from kingcupusher._relay import (
@@ -42,7 +42,7 @@
     def __init__(self, customer: str) -> None:
         self.customer = customer
         self.decided = curio.Event()
-        self.taken: TakenToken | Verdict | None = None
+        self.taken: TakenToken | QuotaDecision | None = None
 
 
 class CustomerQuotas:
@@ -108,7 +108,7 @@
         """Take a token, which may need a call to the lead; return the refusal if there is none."""
         self._update_fleet()
         taken = self._tokens.take(customer, now_ms=now_ms())
-        if taken is Verdict.ASK:
+        if taken is QuotaDecision.ASK:
             taken = await self._wait_for_grant(customer)
         elif self._tokens.next_call_ms(now_ms=now_ms()) <= now_ms():
             await self._call_wanted.set()
@@ -147,7 +147,7 @@
 
     # -- entry
 
-    async def _wait_for_grant(self, customer: str) -> TakenToken | Verdict:
+    async def _wait_for_grant(self, customer: str) -> TakenToken | QuotaDecision:
         waiting = _Waiting(customer)
         self._waiting.append(waiting)
         await self._call_wanted.set()
--- a/src/kingcupusher/_gateway/exchange.py
+++ b/src/kingcupusher/_gateway/exchange.py
@@ -55,7 +55,7 @@
         "_rules",
         "_route",
         "_possibly_executed_by",
-        "_ready_response",
+        "_winning_response",
         "_attempts",
         "_search",
         "_service",
@@ -79,7 +79,7 @@
         self._hedger: Hedger | None = None
         self._in_flight = ConcurrentAttempts()
         self._fallback_response: BufferedResponse | None = None
-        self._ready_response: BufferedResponse | None = None
+        self._winning_response: BufferedResponse | None = None
         self._token = RequestToken(gateway)
 
     async def run(self) -> None:
@@ -123,8 +123,8 @@
                 with self._gateway.drain.interrupting(task):
                     return await self._serve()
         except DeadlineError:
-            if self._ready_response is not None:
-                return self._ready_response
+            if self._winning_response is not None:
+                return self._winning_response
             ready = await self._in_flight.take_completed_success()
             if ready is not None and ready.response is not None:
                 await self._record_result(ready)
@@ -188,7 +188,8 @@
                     continue
                 await self._record_result(result)
                 if result.outcome is AttemptOutcome.SUCCESS and result.response is not None:
-                    self._ready_response = result.response
+                    # The deadline may pass while the other attempts are logged and cancelled.
+                    self._winning_response = result.response
                     self._end_attempts(
                         AttemptOutcome.SUPERSEDED, "another target answered first", winner=result
                     )
@@ -294,7 +295,7 @@
     def _end_attempts(
         self, outcome: AttemptOutcome, reason: str, *, winner: AttemptResult | None = None
     ) -> None:
-        """Log the attempts in flight, which are abandoned without a response."""
+        """Record the end of the attempts in flight, which are abandoned."""
         abandoned = self._in_flight.running
         if self._hedger is not None:
             self._hedger.on_end(winner, abandoned)
--- a/src/kingcupusher/_gateway/explanation.py
+++ b/src/kingcupusher/_gateway/explanation.py
@@ -183,13 +183,13 @@
 def _exclusion(target: Target, gateway: GatewayState) -> str:
     """Return why ``target`` is not in the probe order."""
     if not gateway.catalog.may_send(target):
-        return "it leaves, or its zone is taken out"
+        return "it is draining or gone, or its zone is out of service"
     client = gateway.target_clients.get(target)
     if gateway.selector.quotas.is_exhausted(client):
         return "it is paused, or this entry's share of its request rate is used up"
     if not gateway.rollouts.allowed(target.record.service, [target], OLD_VERSION_DRAW):
         return "a rollout keeps requests from its version"
-    return "it has no recent reading, and no probe of it is left"
+    return "it has no recent reading, and the limit on probes allows none now"
 
 
 def _describe(
--- a/src/kingcupusher/_gateway/selector.py
+++ b/src/kingcupusher/_gateway/selector.py
@@ -255,9 +255,9 @@
         self, probed: ProbedTarget, criteria: AcceptanceCriteria, *, is_last: bool = False
     ) -> bool:
         """Return whether the request accepts the target; a cold one is selected for it only."""
-        is_near = self._is_own_zone(probed) and not probed.reading.is_saturated
+        is_free_in_own_zone = self._is_own_zone(probed) and not probed.reading.is_saturated
         return probed.reading.is_cold or criteria.accepts(
-            self.cost(probed), is_near=is_near, is_last=is_last
+            self.cost(probed), is_free_in_own_zone=is_free_in_own_zone, is_last=is_last
         )
 
     def _is_own_zone(self, probed: ProbedTarget) -> bool:
@@ -274,7 +274,7 @@
         """Claim the best target that is acceptable and still has room; None if there is none."""
         for probed in usable:
             if criteria and not self.is_acceptable(probed, criteria, is_last=is_last):
-                # A costlier one may be acceptable because it is near.
+                # A later one may be acceptable, since the limit is higher in the own zone.
                 continue
             if self.quotas.claim(probed, service):
                 return probed
--- a/src/kingcupusher/_gateway/target_search.py
+++ b/src/kingcupusher/_gateway/target_search.py
@@ -89,7 +89,7 @@
             now_ms=now_ms(),
             objective_ms=self._route.objective_ms,
             deadline_ms=self._deadline_ms,
-            max_near_cost=self._max_near_cost(),
+            max_own_zone_cost=self._max_own_zone_cost(),
         )
         if not wait_queue:
             probed = await self._probe(criteria)
@@ -103,7 +103,7 @@
             return None
         return await self._wait(wait_queue, criteria)
 
-    def _max_near_cost(self) -> float:
+    def _max_own_zone_cost(self) -> float:
         """Return up to which cost a target of the own zone with a free slot is accepted."""
         if not self._route.has_large_responses:
             return MAX_GOOD_COST
--- a/src/kingcupusher/_gateway/wait_queue.py
+++ b/src/kingcupusher/_gateway/wait_queue.py
@@ -64,7 +64,7 @@
         self.assigned: ProbedTarget | None = None
         self.late_at_ms = criteria.objective_end_ms - typical_ms
         if customer is not None and self.late_at_ms <= now_ms():
-            # It would wait behind all requests in time of other customers.
+            # It counts as on time: as late, it would wait behind all on-time requests of others.
             self.late_at_ms = inf
 
     @property
--- a/src/kingcupusher/_http/request_reader.py
+++ b/src/kingcupusher/_http/request_reader.py
@@ -267,7 +267,7 @@
             self._sock._socket.shutdown(socket.SHUT_RD)
 
     def _end_interrupt(self) -> None:
-        """Leave the time of a body for the refusal."""
+        """Set a deadline that leaves time to write the refusal."""
         self.is_interrupt_due = False
         self.deadline_ms = now_ms() + TIMEOUT_MS[ReadState.BODY](self._limits)
 
--- a/src/kingcupusher/_limits/quota_pool.py
+++ b/src/kingcupusher/_limits/quota_pool.py
@@ -1,4 +1,4 @@
-"""Quotas of all customers on the lead: a token bucket for each, filled by the linked entries."""
+"""Quotas of all customers on the lead: token buckets, filled with the shares of linked entries."""
 
 from __future__ import annotations
 
@@ -7,13 +7,14 @@
 
 from kingcupusher._limits.quota_terms import EXTRA_BURST, QuotaLimit, TokenAnswer, TokenWish
 
-ASSUMED_ENTRIES = 32
+ENTRIES_ASSUMED_BY_LEAD = 32
+"""Number of entries while neither the list of entries nor a caller states it."""
 MAX_UNKNOWN_SHARE = 0.6
-"""Largest share while the fleet is unknown: entries may be linked to three leads for 2 s then."""
+"""Largest share while the number of entries is unknown: up to three leads may be linked then."""
 SCARCE_LEVEL = 0.5
 """Below this part of its capacity, entries ask for tokens of a customer before they use them."""
 SCARCE_CACHE_MS = 25.0
-"""Looking at 83 customers takes most of the time of a call."""
+"""The scarce customers are kept for this time, since finding them settles every bucket."""
 MIN_REFUSE_MS = 150.0
 MAX_REFUSE_MS = 1_000.0
 MAX_SPREAD_MS = 3_000.0
@@ -21,7 +22,7 @@
 NEW_POOL_MS = 5_000.0
 """A younger pool knows nothing of the tokens that an earlier lead granted in the same window."""
 MAX_DEBT = 2.0
-"""Debt of a customer in units of its capacity, in which late reports are still counted."""
+"""Largest debt of a customer in units of its full capacity; reports beyond it are not counted."""
 
 
 def pool_share(linked: int, live: int | None) -> float:
@@ -30,11 +31,13 @@
     ``live`` is the number of live entries, None if it is unknown.
     """
     if live is None:
-        return min(MAX_UNKNOWN_SHARE, linked / ASSUMED_ENTRIES)
+        return min(MAX_UNKNOWN_SHARE, linked / ENTRIES_ASSUMED_BY_LEAD)
     return min(1.0, linked / max(1, live))
 
 
 class _Bucket:
+    """Token bucket of one customer; ``backlog`` is the decayed number of refused tokens."""
+
     __slots__ = ("backlog", "level", "limit", "settled_ms")
 
     def __init__(self, limit: QuotaLimit, *, level: float, now_ms: float) -> None:
--- a/src/kingcupusher/_limits/quota_terms.py
+++ b/src/kingcupusher/_limits/quota_terms.py
@@ -7,10 +7,8 @@
 USED_SHARE = 0.93
 """Used part of rate and burst; the margin covers shares that are counted twice during a cut."""
 EXTRA_BURST = 10.0
-"""Half of the 20 requests by which any window may exceed a quota.
-
-Without it, a customer with a burst of 1 loses a third of its requests at 0.62 of its rate.
-"""
+"""Added to each burst, since the requests of a customer within its rate are not evenly spaced. It
+is half of the 20 requests by which any window may exceed a quota."""
 
 
 class QuotaLimit(Struct, frozen=True):
--- a/src/kingcupusher/_limits/quota_tokens.py
+++ b/src/kingcupusher/_limits/quota_tokens.py
@@ -12,27 +12,33 @@
 from kingcupusher._limits.quota_terms import QuotaLimit, TokenAnswer, TokenWish
 
 HOLD_MS = 500.0
+"""Granted tokens that are not used in this time are given back."""
 REPORT_MS = 300.0
-"""One report for all requests in this time: 296 calls a second for 131 entries and 920 requests."""
+"""Requests served without a grant are reported together after this time, to save calls."""
 FRESH_MS = 1_000.0
 """For this time, an answer of the lead tells which customers have tokens left."""
 AHEAD_MS = 200.0
+"""A call also asks for the tokens that the recent demand needs in this time."""
 RETRY_CALL_MS = 300.0
+"""Pause before the next call after one without an answer."""
 COUNTED_MS = 2_500.0
 """The lead counts a silent entry as linked for this time."""
 UNKNOWN_MS = 500.0
+"""Pause before a customer is asked for again that the lead's configuration does not contain."""
 DEMAND_DECAY_MS = 1_000.0
 ADVANCE_FACTOR = 1.5
+"""Requests served without a grant may exceed the recent demand by this factor."""
 OWN_SHARE = 0.7
 """Part of its share that an entry without a lead uses, while the lead may still count it."""
-ASSUMED_ENTRIES = 320
-"""Without a lead and a list of entries: 32 would give 131 entries four times a quota."""
+ENTRIES_ASSUMED_WITHOUT_LEAD = 320
+"""Not less than the largest fleet, so that the own shares of all entries stay within a quota."""
+# Retry-After of refusals without a lead: the least time, and the random part added to it.
 MIN_OWN_PAUSE_MS = 200.0
 OWN_PAUSE_SPREAD_MS = 800.0
 
 
-class Verdict(Enum):
-    """Decision on one request."""
+class QuotaDecision(Enum):
+    """Why a request got no token: it is refused, or the lead must be asked first."""
 
     REFUSED = "refused"
     ASK = "ask"
@@ -47,15 +53,25 @@
 
 
 class _Account:
+    """Tokens and recent demand of one customer at this entry.
+
+    ``held`` tokens were granted by the lead and lapse at ``held_until_ms``. ``used`` is what the
+    next call reports to the lead, less what it gives back; ``advanced`` counts the requests served
+    without a grant since the last call. ``own`` is the part of the entry's own share left at
+    ``own_settled_ms``, ``demand`` the decayed number of requests at ``demand_updated_ms``. Requests
+    without a token are refused until ``refuse_until_ms``; refused callers come back within
+    ``spread_ms`` after it. Until ``unknown_until_ms``, the lead knows no quota of the customer.
+    """
+
     __slots__ = (
         "advanced",
         "demand",
-        "demand_ms",
+        "demand_updated_ms",
         "held",
         "held_until_ms",
         "limit",
         "own",
-        "own_ms",
+        "own_settled_ms",
         "refuse_until_ms",
         "spread_ms",
         "unknown_until_ms",
@@ -69,19 +85,23 @@
         self.advanced = 0
         self.used = 0
         self.demand = 0.0
-        self.demand_ms = -inf
+        self.demand_updated_ms = -inf
         self.refuse_until_ms = -inf
         self.spread_ms = 0.0
         self.unknown_until_ms = -inf
         self.own = 0.0
-        self.own_ms = -inf
+        self.own_settled_ms = -inf
 
     def count_request(self, now_ms: float) -> None:
         self.demand = self.demand_per_ms(now_ms) * DEMAND_DECAY_MS + 1.0
-        self.demand_ms = now_ms
+        self.demand_updated_ms = now_ms
 
     def demand_per_ms(self, now_ms: float) -> float:
-        return self.demand * exp(-(now_ms - self.demand_ms) / DEMAND_DECAY_MS) / DEMAND_DECAY_MS
+        return (
+            self.demand
+            * exp(-(now_ms - self.demand_updated_ms) / DEMAND_DECAY_MS)
+            / DEMAND_DECAY_MS
+        )
 
     def max_advance(self, now_ms: float) -> int:
         return 1 + ceil(self.demand_per_ms(now_ms) * REPORT_MS * ADVANCE_FACTOR - 0.5)
@@ -175,8 +195,8 @@
 
     # -- requests
 
-    def take(self, customer: str, *, now_ms: float) -> TakenToken | Verdict:
-        """Take a token for one request; the verdict tells why there is none."""
+    def take(self, customer: str, *, now_ms: float) -> TakenToken | QuotaDecision:
+        """Take a token for one request, or return why there is none."""
         account = self._accounts.get(customer)
         if account is None:
             return TakenToken(customer, is_charged=False)
@@ -186,7 +206,7 @@
                 self._report_at_ms = min(self._report_at_ms, now_ms)
             return TakenToken(customer, is_charged=True)
         if account.refuse_until_ms > now_ms:
-            return Verdict.REFUSED
+            return QuotaDecision.REFUSED
         if self._may_advance(customer, account, now_ms):
             account.advanced += 1
             account.used += 1
@@ -194,11 +214,11 @@
             return TakenToken(customer, is_charged=True)
         may_ask = self._is_lead_usable or (self._is_linked and now_ms >= self._retry_call_ms)
         if may_ask and account.unknown_until_ms <= now_ms:
-            return Verdict.ASK
+            return QuotaDecision.ASK
         self._report_at_ms = min(self._report_at_ms, self._retry_call_ms)
         return self.take_own(customer, now_ms=now_ms)
 
-    def take_granted(self, customer: str, *, now_ms: float) -> TakenToken | Verdict:
+    def take_granted(self, customer: str, *, now_ms: float) -> TakenToken | QuotaDecision:
         """Take a token for a request that waited for the answer of the lead."""
         account = self._accounts.get(customer)
         if account is None:
@@ -206,10 +226,10 @@
         if self._take_held(account, now_ms):
             return TakenToken(customer, is_charged=True)
         if account.refuse_until_ms > now_ms:
-            return Verdict.REFUSED
+            return QuotaDecision.REFUSED
         return self.take_own(customer, now_ms=now_ms)
 
-    def take_own(self, customer: str, *, now_ms: float) -> TakenToken | Verdict:
+    def take_own(self, customer: str, *, now_ms: float) -> TakenToken | QuotaDecision:
         """Take a token of the entry's own share.
 
         A share is often less than one request. The request is then served with that probability,
@@ -218,18 +238,18 @@
         account = self._accounts.get(customer)
         if account is None:
             return TakenToken(customer, is_charged=False)
-        share = OWN_SHARE / (self._entries or ASSUMED_ENTRIES)
-        if account.own_ms < self._own_since_ms or account.own_ms == -inf:
+        share = OWN_SHARE / (self._entries or ENTRIES_ASSUMED_WITHOUT_LEAD)
+        if account.own_settled_ms < self._own_since_ms or account.own_settled_ms == -inf:
             # What was used in advance and never reported is repaid first.
             account.own = -float(max(0, account.used))
-            account.own_ms = self._own_since_ms if self._own_since_ms > -inf else now_ms
-        earned = max(0.0, now_ms - account.own_ms) * account.limit.usable_per_ms(share)
+            account.own_settled_ms = self._own_since_ms if self._own_since_ms > -inf else now_ms
+        earned = max(0.0, now_ms - account.own_settled_ms) * account.limit.usable_per_ms(share)
         account.own = min(account.limit.capacity(share), account.own + earned)
-        account.own_ms = now_ms
+        account.own_settled_ms = now_ms
         staked = max(0.0, min(1.0, account.own))
         account.own -= staked
         if self._rng.random() >= staked:
-            return Verdict.REFUSED
+            return QuotaDecision.REFUSED
         is_charged = now_ms < self._counted_until_ms
         account.used += is_charged
         return TakenToken(customer, is_charged=is_charged, is_own=True)
--- a/src/kingcupusher/_limits/wait_forecast.py
+++ b/src/kingcupusher/_limits/wait_forecast.py
@@ -11,11 +11,11 @@
 """With fewer recent assignments there is no forecast."""
 MIN_BUSY_MS = 300.0
 """A queue that existed for a shorter time says nothing; slow phases of targets last 300 ms."""
-MAX_LAST_CHANCE = 0.25
-"""At the end of its wait, a request also accepts a target of fair cost. While more than this share
-of the requests get one then, none is refused on arrival."""
-MIN_LAST_CHANCES = 0.5
-"""At least one wait ended without a good target in the last 1.4 s; else waits are not in vain."""
+MAX_LAST_PROBE_SUCCESS_SHARE = 0.25
+"""The last probe, at the end of a wait, also accepts a target of fair cost. While more than this
+share of the last probes succeed, no request is refused on arrival."""
+MIN_LAST_PROBES = 0.5
+"""Decayed number of last probes; with fewer, no request is refused on arrival."""
 DEFAULT_RETRY_AFTER_MS = 200.0
 RETRY_SHARE = 0.3
 """Callers wait up to a third of the time they have left; the rest is for the way to them."""
@@ -33,8 +33,8 @@
         "_assigned",
         "_busy_ms",
         "_is_busy",
-        "_last_chances",
-        "_last_served",
+        "_last_probes",
+        "_successful_last_probes",
         "_next_return_ms",
         "_rng",
         "_updated_ms",
@@ -45,8 +45,8 @@
         self._assigned = 0.0
         self._busy_ms = 0.0
         self._is_busy = False
-        self._last_chances = 0.0
-        self._last_served = 0.0
+        self._last_probes = 0.0
+        self._successful_last_probes = 0.0
         self._updated_ms = 0.0
         self._next_return_ms = 0.0
 
@@ -63,18 +63,19 @@
     def on_wait_ended(self, *, is_served: bool, now_ms: float) -> None:
         """Record whether a request got a target of fair cost at the end of its wait."""
         self._advance(now_ms)
-        self._last_chances += 1.0
+        self._last_probes += 1.0
         if is_served:
-            self._last_served += 1.0
+            self._successful_last_probes += 1.0
             self._assigned += 1.0
 
     def min_wait_ms(self, ahead: int, *, now_ms: float) -> float:
         """Return how long a request with ``ahead`` others before it waits at least.
 
-        The result is 0 without recent evidence, and while the ends of waits are not in vain.
+        The result is 0 without recent evidence, and while enough last probes succeed. It assumes
+        that all of those before the request get a target, so that it may be too long.
         """
         self._advance(now_ms)
-        if not (self._has_evidence and self._is_end_in_vain):
+        if not (self._has_evidence and self._has_failing_last_probes):
             return 0.0
         likely_assigned = self._assigned + 2.0 * sqrt(self._assigned) + 2.0
         return ahead * self._busy_ms / likely_assigned
@@ -102,10 +103,10 @@
         return self._assigned >= MIN_ASSIGNED and self._busy_ms >= MIN_BUSY_MS
 
     @property
-    def _is_end_in_vain(self) -> bool:
-        if self._last_chances < MIN_LAST_CHANCES:
+    def _has_failing_last_probes(self) -> bool:
+        if self._last_probes < MIN_LAST_PROBES:
             return False
-        return self._last_served <= self._last_chances * MAX_LAST_CHANCE
+        return self._successful_last_probes <= self._last_probes * MAX_LAST_PROBE_SUCCESS_SHARE
 
     def _advance(self, now_ms: float) -> None:
         elapsed_ms = max(0.0, now_ms - self._updated_ms)
@@ -113,7 +114,7 @@
         kept = exp(-elapsed_ms / MEMORY_MS)
         self._assigned *= kept
         self._busy_ms *= kept
-        self._last_chances *= kept
-        self._last_served *= kept
+        self._last_probes *= kept
+        self._successful_last_probes *= kept
         if self._is_busy:
             self._busy_ms += MEMORY_MS * (1.0 - kept)
--- a/src/kingcupusher/_relay/lead_link.py
+++ b/src/kingcupusher/_relay/lead_link.py
@@ -159,7 +159,7 @@
                 await connection.close()
         except LinkClosedError as error:
             if self._lost_link_to != reader.entry:
-                # A lead closes the link of an entry that was frozen; it may be as good as before.
+                # A lead closes the link of an entry that was frozen, so it is dialed once more.
                 self._lost_link_to = reader.entry
                 return
             reason = str(error)
--- a/src/kingcupusher/_routing/acceptance.py
+++ b/src/kingcupusher/_routing/acceptance.py
@@ -20,12 +20,13 @@
 
 
 class AcceptanceCriteria:
-    """Decides which targets a request accepts and how long it waits; uses the process clock.
+    """Decides which targets a request accepts and how long it waits.
 
-    ``max_near_cost`` is up to which cost it accepts a target of its own zone with a free slot.
+    ``max_own_zone_cost`` is the highest cost at which it accepts a target of its own zone with a
+    free slot.
     """
 
-    __slots__ = ("max_near_cost", "objective_end_ms", "wait_until_ms")
+    __slots__ = ("max_own_zone_cost", "objective_end_ms", "wait_until_ms")
 
     def __init__(
         self,
@@ -34,19 +35,21 @@
         now_ms: float,
         objective_ms: float,
         deadline_ms: float,
-        max_near_cost: float = MAX_GOOD_COST,
+        max_own_zone_cost: float = MAX_GOOD_COST,
     ) -> None:
-        self.max_near_cost = max_near_cost
+        self.max_own_zone_cost = max_own_zone_cost
         self.objective_end_ms = received_ms + objective_ms
         self.wait_until_ms = now_ms + max(0.0, deadline_ms - now_ms) * MAX_WAIT_SHARE
 
-    def accepts(self, cost: float, *, is_near: bool = False, is_last: bool = False) -> bool:
+    def accepts(
+        self, cost: float, *, is_free_in_own_zone: bool = False, is_last: bool = False
+    ) -> bool:
         """Return whether a target of this ``cost`` is good enough.
 
-        ``is_near`` marks a target of the own zone with a free slot. ``is_last`` marks the last
-        check: the request is refused unless it accepts a target.
+        ``is_free_in_own_zone`` marks a target of the own zone with a free slot. ``is_last`` marks
+        the last check: the request is refused unless it accepts a target.
         """
-        if is_near and cost <= self.max_near_cost:
+        if is_free_in_own_zone and cost <= self.max_own_zone_cost:
             return True
         return cost <= (MAX_FAIR_COST if is_last else MAX_GOOD_COST)
 
--- a/src/kingcupusher/_routing/hedging.py
+++ b/src/kingcupusher/_routing/hedging.py
@@ -10,7 +10,7 @@
 MIN_SAMPLES = 20
 """With fewer samples, the 95th percentile would be the slowest response that was seen."""
 EARLIEST_QUANTILE = 0.90
-"""Hedges of faster responses would take the limit from the slowest ones."""
+"""Hedges that are sent earlier would use up the limit before the slowest responses need it."""
 LATEST_QUANTILE = 0.95
 MIN_DELAY_FACTOR = 1.5
 """Keeps jitter of a route with nearly equal response times from causing hedges."""
@@ -79,7 +79,7 @@
         self.share = 0.0
 
     def record(self, *, is_overdue: bool) -> None:
-        """Record whether a response came before the hedge was due."""
+        """Record whether the hedge was due before the response came."""
         self.share += (is_overdue - self.share) * OVERDUE_WEIGHT
 
     @property
--- a/src/kingcupusher/_routing/selection.py
+++ b/src/kingcupusher/_routing/selection.py
@@ -15,8 +15,8 @@
 OTHER_ZONE_PENALTY = 0.05
 """Added to the cost of targets in other zones, so that equally fast ones in the own zone win."""
 LARGE_RESPONSE_PENALTY = 3.0
-"""The same for a route with large responses, whose transfer between zones costs more than the time
-that a target with a usual share of other work on its machine takes longer."""
+"""The same for a route with large responses: a transfer between zones costs more than the extra
+time of a target whose VM has other work."""
 
 
 class Candidate(Protocol):
--- a/testing/customer_quotas/model.py
+++ b/testing/customer_quotas/model.py
@@ -9,7 +9,7 @@
 from math import inf
 
 from kingcupusher._limits.quota_pool import QuotaPool, pool_share
-from kingcupusher._limits.quota_tokens import QuotaTokens, TakenToken, Verdict
+from kingcupusher._limits.quota_tokens import QuotaDecision, QuotaTokens, TakenToken
 
 LEAD_COUNT = 3
 TICK_MS = 100.0
@@ -111,7 +111,7 @@
         """Decide on a request of ``customer``, at once or after a call."""
         self.update_tokens()
         taken = self.tokens.take(customer, now_ms=self.fleet.now)
-        if taken is Verdict.ASK:
+        if taken is QuotaDecision.ASK:
             self.waiting.append(customer)
         else:
             self.finish(customer, taken)
--- a/testing/features/explain.feature
+++ b/testing/features/explain.feature
@@ -39,5 +39,5 @@
       | case                  | status | text                  |
       | a key of acme         | 0      | customer acme         |
       | an unknown key        | 1      | refused: 401          |
-      | a stopped entry       | 4      | explains nothing      |
+      | a stopped entry       | 4      | cannot get an explanation      |
       | JSON                  | 0      | "customer":"acme"     |
--- a/testing/features/steps/customer_quotas_steps.py
+++ b/testing/features/steps/customer_quotas_steps.py
@@ -10,7 +10,7 @@
 
 from kingcupusher._gateway.error_responses import quota_used_up
 from kingcupusher._limits.quota_terms import QuotaLimit, TokenAnswer, TokenWish
-from kingcupusher._limits.quota_tokens import HOLD_MS, QuotaTokens, TakenToken, Verdict
+from kingcupusher._limits.quota_tokens import HOLD_MS, QuotaDecision, QuotaTokens, TakenToken
 from kingcupusher._relay.messages import (
     LeadCall,
     LeadReply,
@@ -292,7 +292,7 @@
 @then("a token that is given back is reported to the lead with the next call")
 def then_given_back(context):  # noqa: ARG001
     tokens = _tokens()
-    assert tokens.take(NAME, now_ms=0.0) is Verdict.ASK
+    assert tokens.take(NAME, now_ms=0.0) is QuotaDecision.ASK
     assert _grant(tokens, 1, now_ms=0.0) == 0
     token = tokens.take_granted(NAME, now_ms=0.0)
     assert isinstance(token, TakenToken)
@@ -306,7 +306,7 @@
     tokens = _tokens()
     _grant(tokens, 3, now_ms=0.0, waiting=3)
     assert isinstance(tokens.take(NAME, now_ms=HOLD_MS - 1.0), TakenToken)
-    assert tokens.take(NAME, now_ms=HOLD_MS) is Verdict.ASK
+    assert tokens.take(NAME, now_ms=HOLD_MS) is QuotaDecision.ASK
     assert _grant(tokens, 0, now_ms=HOLD_MS) == -2
 
 
@@ -322,9 +322,9 @@
 def then_times_differ(context):  # noqa: ARG001
     tokens = _tokens()
     _grant(tokens, 0, now_ms=0.0, refuse_ms=400, spread_ms=1_000)
-    assert tokens.take(NAME, now_ms=0.0) is Verdict.REFUSED
+    assert tokens.take(NAME, now_ms=0.0) is QuotaDecision.REFUSED
     times = [tokens.retry_after_ms(NAME, now_ms=0.0) for _ in range(100)]
-    end = next(t for t in range(2_000) if tokens.take(NAME, now_ms=float(t)) is Verdict.ASK)
+    end = next(t for t in range(2_000) if tokens.take(NAME, now_ms=float(t)) is QuotaDecision.ASK)
     assert end >= 300 and min(times) >= end - 1.0, (end, min(times))
     assert max(times) - min(times) > 800.0, (min(times), max(times))
 
@@ -350,4 +350,4 @@
     tokens = _tokens()
     wishes = tokens.wishes({NAME: 2}, now_ms=0.0)
     tokens.on_answers(wishes, [TokenAnswer(2)], [], now_ms=5_000.0)
-    assert tokens.take(NAME, now_ms=5_000.0) is Verdict.ASK
+    assert tokens.take(NAME, now_ms=5_000.0) is QuotaDecision.ASK
