Read rollout orders again after each write

Cause: the lead iterated over a list of orders across awaits. An order withdrawn during the write for another one raised KeyError, and a replaced one was written for. A request that began before an order had the number 0.0, so that its retries and its wait ended at canaries. A full read of the store lists phases before orders, and the final phase of a second order was dropped because that of the first one was still the final phase of the known order.

Change: the lead and the reports skip an order that is no longer the one known. NO_DRAW is removed; such requests have OLD_VERSION_DRAW. The final phase is updated when the order arrives, too.

--- a/src/kingcupusher/_discovery/rollout_states.py
+++ b/src/kingcupusher/_discovery/rollout_states.py
@@ -148,6 +148,8 @@
         state = self.states.get(order.service)
         if state is not None and state.order_revision == order.revision:
             self.raise_order_age(order.service, state.order_age_ms, now_ms=now_ms)
+            # A full read of the store may have the phase before its order.
+            self._update_final(state, order)
 
     def _on_state(self, state: RolloutState, now_ms: float) -> None:
         before = self.states.get(state.service)
--- a/src/kingcupusher/_gateway/rollout_traffic.py
+++ b/src/kingcupusher/_gateway/rollout_traffic.py
@@ -10,7 +10,7 @@
 from kingcupusher._gateway.attempt import Attempt, AttemptOutcome, AttemptResult
 from kingcupusher._limits.rollout_ledger import EntryCounts, RouteOutcomes
 from kingcupusher._observe.metrics_registry import Metrics, labels
-from kingcupusher._routing.version_choice import VersionRule, choose_targets
+from kingcupusher._routing.version_choice import OLD_VERSION_DRAW, VersionRule, choose_targets
 
 DEADLINE_REASON = "no response in time"
 """Reason of an attempt that its target did not answer before the deadline of the request."""
@@ -21,7 +21,6 @@
     AttemptOutcome.SUPERSEDED: False,
 }
 """Outcomes that tell about a version. A superseded attempt would have taken longer still."""
-NO_DRAW = 0.0
 
 
 class RolloutTraffic:
@@ -39,8 +38,13 @@
     # -- choice
 
     def draw(self, service: str) -> float:
-        """Return the number of a new request, by which its version is chosen."""
-        return self._rng.random() if self._catalog.rollouts.in_force(service) else NO_DRAW
+        """Return the number of a new request, by which its version is chosen.
+
+        A request that began before the order stays one for the old version.
+        """
+        if self._catalog.rollouts.in_force(service) is None:
+            return OLD_VERSION_DRAW
+        return self._rng.random()
 
     def allowed(self, service: str, targets: Sequence[Target], draw: float) -> Sequence[Target]:
         """Return those of the usable ``targets`` that the request may go to."""
--- a/src/kingcupusher/_gateway/rollouts.py
+++ b/src/kingcupusher/_gateway/rollouts.py
@@ -117,6 +117,8 @@
         """Send one report on each rollout in progress; the next makes up for a lost one."""
         rollouts = self._catalog.rollouts
         for order in rollouts.active_orders():
+            if not self._is_current(order):
+                continue
             age_ms = rollouts.order_age_ms(order.service, now_ms=now_ms())
             # The lead keeps its own report, which must not change with the counts.
             counts = self._traffic.counts_since(order).copy()
@@ -146,7 +148,8 @@
         orders = self._catalog.rollouts.active_orders()
         self._drop_ended(orders)
         for order in orders:
-            await self._check_order(order)
+            if self._is_current(order):
+                await self._check_order(order)
         for lost in self._catalog.rollouts.lost_finals():
             await self._restore_final(lost)
         # Writes take time of their own, which is not a gap between checks.
@@ -163,6 +166,10 @@
                 values["rollouts", labels(service=service, phase=phase)] = 1.0
         return values
 
+    def _is_current(self, order: RolloutOrder) -> bool:
+        """Return whether ``order`` is still the one known, which may change at each await."""
+        return self._catalog.rollouts.orders.get(order.service) == order
+
     def _drop_ended(self, orders: list[RolloutOrder]) -> None:
         revisions = {order.service: order.revision for order in orders}
         for service, case in list(self._cases.items()):
@@ -256,8 +263,10 @@
 
     async def _restore_final(self, lost: RolloutState) -> None:
         """Write a final phase again that a restored store does not have."""
+        order = self._catalog.rollouts.orders.get(lost.service)
+        if order is None or order.revision != lost.order_revision:
+            return
         present = self._catalog.rollouts.states.get(lost.service)
-        order = self._catalog.rollouts.orders[lost.service]
         case = self._case(order)
         if now_ms() < case.retry_ms:
             return
--- a/testing/features/rollouts.feature
+++ b/testing/features/rollouts.feature
@@ -141,6 +141,25 @@
     Guards against a rollback by a lead whose reports are from before it was frozen.
     Then a lead that made no check for a while writes nothing until its reports are new
 
+  Scenario Outline: A lead skips an order that is <change> while it writes another phase
+    Guards against a lead task that ends with an error, and writes for an order that has ended.
+    Then a lead that writes a <kind> phase skips an order that is <change> during the write
+
+    Examples:
+      | kind  | change    |
+      | first | withdrawn |
+      | first | replaced  |
+      | lost  | withdrawn |
+      | lost  | replaced  |
+
+  Scenario: A request that began before the order goes to the old version
+    Guards against canaries that get all waiting requests and retries of earlier requests.
+    Then a request without an order has the number 1
+
+  Scenario: The final phase of a second order is kept if it is read before the order
+    Guards against entries that report on an ended rollout, and that drop its end with the store.
+    Then the phase "rolled_back" of a second order stays if it arrives before its order
+
   Scenario Outline: Four entries roll out a version that is <quality>, and <event>
     Guards against rollouts that end with the lead, and against decisions that are lost.
     Given four entries and a store
--- a/testing/features/steps/rollout_entry_steps.py
+++ b/testing/features/steps/rollout_entry_steps.py
@@ -15,6 +15,7 @@
     RolloutOrder,
     RolloutOrdered,
     RolloutPhase,
+    RolloutPhaseGone,
     RolloutPhaseSeen,
     RolloutState,
     RolloutWithdrawn,
@@ -126,6 +127,60 @@
     curio.run(main)
 
 
+class _ChangingStore:
+    """Applies ``change`` to the order of the other service during the first write."""
+
+    def __init__(self, catalog, change):
+        self._catalog = catalog
+        self._change = change
+        self.written = []
+
+    async def write_rollout(self, state):
+        """Take the write."""
+        self.written.append((state.service, state.order_revision))
+        if len(self.written) == 1:
+            other = {"s": "t", "t": "s"}[state.service]
+            changed = RolloutWithdrawn(other)
+            if self._change == "replaced":
+                changed = RolloutOrdered(_order(other, 99))
+            self._catalog.apply([changed], now_ms=now_ms())
+        return True
+
+
+def _order(service, revision):
+    return RolloutOrder(
+        service=service, target_version="v2", duration_ms=DURATION_MS, revision=revision
+    )
+
+
+def _rollouts(catalog, store):
+    traffic = RolloutTraffic(catalog, Metrics(), rng=None)
+    link = SimpleNamespace(is_lead=True, lead="e1")
+    rng = SimpleNamespace(randrange=lambda _limit: 1)
+    return Rollouts(
+        catalog, traffic, link, LeadServer(), store, on_event=lambda *_a, **_f: None, rng=rng
+    )
+
+
+@then("a lead that writes a {kind} phase skips an order that is {change} during the write")
+def then_skipped_order(context, kind, change):
+    catalog = Catalog()
+    catalog.apply([RolloutOrdered(_order(s, 7)) for s in "st"], now_ms=now_ms())
+    for service in "st" if kind == "lost" else "":
+        state = RolloutState(
+            service=service,
+            target_version="v2",
+            order_revision=7,
+            phase=RolloutPhase.ROLLED_BACK,
+            revision=8,
+        )
+        seen = [RolloutPhaseSeen(state), RolloutPhaseGone(service)]
+        catalog.apply(seen, now_ms=now_ms())
+    store = _ChangingStore(catalog, change)
+    curio.run(_rollouts(catalog, store).check)
+    assert len(store.written) == 1, store.written
+
+
 # -- the model of a fleet
 
 
--- a/testing/features/steps/rollout_steps.py
+++ b/testing/features/steps/rollout_steps.py
@@ -6,24 +6,29 @@
 from random import Random
 
 import curio
+import msgspec
 from behave import given, then
 from hypothesis import strategies as st
 
 from kingcupusher._discovery import (
     Catalog,
     RolloutPhase,
+    RolloutPhaseSeen,
     RolloutState,
     StorePosition,
     TargetSeen,
 )
+from kingcupusher._gateway.rollout_traffic import RolloutTraffic
 from kingcupusher._http.simple_client import Response
 from kingcupusher._http.simple_server import serve
 from kingcupusher._limits.rollout_ledger import EntryCounts, Outcomes, RolloutLedger, RouteOutcomes
 from kingcupusher._limits.rollout_phases import Evidence, decide
 from kingcupusher._limits.rollout_verdict import Verdict, VersionCounts, judge
+from kingcupusher._observe.metrics_registry import Metrics
 from kingcupusher._relay.messages import CatalogUpdate, decode, encode
 from kingcupusher._routing.version_choice import (
     CANARY_SHARE,
+    OLD_VERSION_DRAW,
     RAMP_MS,
     VersionRule,
     canaries,
@@ -199,6 +204,31 @@
     check_property(context, prop, old_count=st.integers(1, 200), seed=st.integers(0, 99))
 
 
+@then("a request without an order has the number 1")
+def then_old_draw(context):
+    traffic = RolloutTraffic(Catalog(), Metrics(), rng=Random(1))
+    assert traffic.draw("s") == OLD_VERSION_DRAW == 1.0
+
+
+@then('the phase "{phase}" of a second order stays if it arrives before its order')
+def then_second_final(context, phase):
+    catalog = Catalog()
+    first = _state(RolloutPhase.COMPLETED)
+    second = _state(RolloutPhase(phase), revision=12)
+    changes = [
+        _decode("op/rollout/s", ORDER),
+        RolloutPhaseSeen(first),
+        RolloutPhaseSeen(msgspec.structs.replace(second, order_revision=11)),
+        _decode("op/rollout/s", ORDER, revision=11),
+    ]
+    catalog.apply(changes, now_ms=NOW_MS)
+    assert not catalog.rollouts.active_orders()
+    # The store returns from a copy that does not have the phase.
+    catalog.apply([RolloutPhaseSeen(first)], now_ms=NOW_MS)
+    rollout = catalog.rollouts.in_force("s")
+    assert (rollout.order_revision, rollout.phase) == (11, RolloutPhase(phase)), rollout
+
+
 # -- verdicts
 
 
