Keep targets for requests of a service that has one version

Cause: an order for the version that the service already runs was rolled back on a bad verdict or after its deadline, and a rollback lasted for ever, also when only the rolled-back version was left. No target served the requests then. A completed version that was ordered again completed at once although targets of another version had been started since.

Change: without a target of another version since the order, the lead waits or completes, and never rolls back. Without an order, a rollback holds only while another version is registered. Rejected versions that no target runs are dropped when a trial begins, and rejected ones serve while nothing else is registered. A repeated order completes at once only if no other version is registered.

--- a/src/kingcupusher/_discovery/catalog.py
+++ b/src/kingcupusher/_discovery/catalog.py
@@ -70,7 +70,7 @@
         self.live_entries = LiveEntries()
         self.announcements = TargetAnnouncements(Random())
         self.crashes = CrashQuarantine()
-        self.rollouts = RolloutStates(self._notify_listeners)
+        self.rollouts = RolloutStates(self._notify_listeners, self.registered_versions)
         self._grace_end_ms = 0.0
         self._round_robins: dict[tuple[str, tuple[object, ...]], WeightedRoundRobin] = {}
 
@@ -135,6 +135,12 @@
             round_robin = self._round_robins[key] = WeightedRoundRobin(route.parts)
         return self.route_table.services.get(round_robin.next_service())
 
+    def registered_versions(self, service: str) -> frozenset[str]:
+        """Return the versions that the registered targets of ``service`` run, usable or not."""
+        return frozenset(
+            target.version for target in self.targets.values() if target.record.service == service
+        )
+
     def usable_targets(self, service: str) -> list[Target]:
         """Return the targets of ``service`` that neither leave nor are in a zone taken out."""
         return [
--- a/src/kingcupusher/_discovery/rollout_states.py
+++ b/src/kingcupusher/_discovery/rollout_states.py
@@ -24,6 +24,8 @@
     """The rollout in force for a service.
 
     ``phase`` is None before a lead has written one. ``phase_seen_ms`` is when this entry saw it.
+    ``rejected`` versions get no requests, except while all registered targets run one of them
+    (``has_only_rejected``): then nothing else could serve the requests.
     """
 
     service: str
@@ -32,6 +34,7 @@
     phase: RolloutPhase | None
     phase_seen_ms: float = 0.0
     rejected: tuple[str, ...] = ()
+    has_only_rejected: bool = False
 
 
 class RolloutStates:
@@ -41,10 +44,21 @@
     earlier phase: the targets of the other version are stopped by then, or its faults are known.
     """
 
-    __slots__ = ("_final", "_notify", "_phase_seen_ms", "_written_ms", "orders", "states")
-
-    def __init__(self, notify: Callable[..., None]) -> None:
+    __slots__ = (
+        "_final",
+        "_notify",
+        "_phase_seen_ms",
+        "_versions",
+        "_written_ms",
+        "orders",
+        "states",
+    )
+
+    def __init__(
+        self, notify: Callable[..., None], versions: Callable[[str], frozenset[str]]
+    ) -> None:
         self._notify = notify
+        self._versions = versions
         self.orders: dict[str, RolloutOrder] = {}
         self.states: dict[str, RolloutState] = {}
         self._written_ms: dict[str, float] = {}
@@ -86,21 +100,24 @@
         order, state = self.orders.get(service), self.states.get(service)
         final = self._final.get(service)
         if order is None:
-            # Targets of the losing version may still be registered when the order is removed.
-            return None if final is None else self._rollout(final)
+            return None if final is None else self._after_order(final)
         if final is not None and final.order_revision == order.revision:
             return self._rollout(final)
         if state is not None and state.order_revision == order.revision:
             return self._rollout(state)
         earlier = final or state
-        if earlier is not None and repeats_completed(order, earlier):
+        versions = self._versions(service)
+        if earlier is not None and repeats_completed(order, earlier, versions):
             return self._rollout(earlier)
+        rejected = rejected_before(order, earlier)
+        has_only_rejected = _has_only(rejected, versions)
         return Rollout(
             service=service,
             order_revision=order.revision,
             target_version=order.target_version,
             phase=None,
-            rejected=rejected_before(order, earlier),
+            rejected=() if has_only_rejected else rejected,
+            has_only_rejected=has_only_rejected,
         )
 
     def active_orders(self) -> list[RolloutOrder]:
@@ -177,21 +194,41 @@
         else:
             self._final.pop(state.service, None)
 
+    def _after_order(self, final: RolloutState) -> Rollout | None:
+        """Return the ended rollout as long as its losing version may still be registered.
+
+        A rollback ends with the last target of another version. Otherwise no request would get a
+        target until the next order.
+        """
+        refused = {*final.rejected, final.target_version}
+        if final.phase is RolloutPhase.ROLLED_BACK and self._versions(final.service) <= refused:
+            return None
+        return self._rollout(final)
+
     def _rollout(self, state: RolloutState) -> Rollout:
+        has_only_rejected = bool(state.rejected) and _has_only(
+            state.rejected, self._versions(state.service)
+        )
         return Rollout(
             service=state.service,
             order_revision=state.order_revision,
             target_version=state.target_version,
             phase=state.phase,
             phase_seen_ms=self._phase_seen_ms.get(state.service, 0.0),
-            rejected=state.rejected,
+            rejected=() if has_only_rejected else state.rejected,
+            has_only_rejected=has_only_rejected,
         )
 
 
-def repeats_completed(order: RolloutOrder, earlier: RolloutState) -> bool:
-    """Return whether the service runs on the ordered version since an earlier order."""
+def repeats_completed(order: RolloutOrder, earlier: RolloutState, versions: frozenset[str]) -> bool:
+    """Return whether the service runs on the ordered version since an earlier order.
+
+    Registered targets of another version may have been started on purpose after that order, so that
+    the ordered one is tried out again beside them.
+    """
     is_completed = earlier.phase is RolloutPhase.COMPLETED
-    return is_completed and earlier.target_version == order.target_version
+    is_same = earlier.target_version == order.target_version
+    return is_completed and is_same and versions <= {order.target_version}
 
 
 def rejected_before(order: RolloutOrder, earlier: RolloutState | None) -> tuple[str, ...]:
@@ -202,3 +239,8 @@
     if earlier.phase is RolloutPhase.ROLLED_BACK:
         rejected.add(earlier.target_version)
     return tuple(sorted(rejected - {order.target_version}))
+
+
+def _has_only(rejected: tuple[str, ...], versions: frozenset[str]) -> bool:
+    """Return whether targets are registered, and all of them run ``rejected`` versions."""
+    return bool(versions) and versions <= {*rejected}
--- a/src/kingcupusher/_gateway/rollout_traffic.py
+++ b/src/kingcupusher/_gateway/rollout_traffic.py
@@ -64,7 +64,12 @@
         return choose_targets(targets, rule, draw=draw, now_ms=current_ms)
 
     def has_old(self, rollout: Rollout) -> bool:
-        """Return whether a target of another version was registered since the order."""
+        """Return whether a target of another version was registered since the order.
+
+        Targets of rejected versions count only while no other target is registered.
+        """
+        if rollout.has_only_rejected:
+            return True
         key = (rollout.service, rollout.order_revision)
         if key not in self._has_old and any(
             t.version not in (rollout.target_version, *rollout.rejected)
--- a/src/kingcupusher/_gateway/rollouts.py
+++ b/src/kingcupusher/_gateway/rollouts.py
@@ -197,14 +197,15 @@
         case.ledger.remember(now_ms=now_ms())
         state = self._catalog.rollouts.states.get(order.service)
         if state is None or state.order_revision != order.revision:
-            is_done = state is not None and repeats_completed(order, state)
+            versions = self._catalog.registered_versions(order.service)
+            is_done = state is not None and repeats_completed(order, state, versions)
             phase = RolloutPhase.COMPLETED if is_done else RolloutPhase.TRIAL
             begun = RolloutState(
                 service=order.service,
                 target_version=order.target_version,
                 order_revision=order.revision,
                 phase=phase,
-                rejected=rejected_before(order, state),
+                rejected=tuple(v for v in rejected_before(order, state) if v in versions),
                 revision=state.revision if state else 0,
             )
             await self._write(case, None, begun, Decision(phase, "ordered"))
--- a/src/kingcupusher/_limits/rollout_phases.py
+++ b/src/kingcupusher/_limits/rollout_phases.py
@@ -29,7 +29,8 @@
     """What a lead knows when it decides.
 
     ``has_majority`` is whether at least half of the known entries are linked to this lead. Of two
-    leads, only one may move requests to the new version, and both may roll it back.
+    leads, only one may move requests to the new version, and both may roll it back. ``has_old`` is
+    whether a target of another version was registered since the order.
     """
 
     verdict: Verdict
@@ -67,6 +68,8 @@
     """Return the next phase, or None if ``phase`` lasts."""
     if phase.is_final:
         return None
+    if not evidence.has_old:
+        return _without_old(evidence)
     if evidence.verdict is Verdict.BAD:
         return Decision(RolloutPhase.ROLLED_BACK, "the new version is bad")
     if phase is RolloutPhase.TRIAL:
@@ -76,10 +79,15 @@
     return _after_shift(evidence)
 
 
+def _without_old(evidence: Evidence) -> Decision | None:
+    """Complete an order for the only version; after a rollback nothing could serve the requests."""
+    if evidence.has_new and evidence.order_age_ms >= MIN_AGE_WITHOUT_OLD_MS:
+        return Decision(RolloutPhase.COMPLETED, "no target runs another version")
+    return None
+
+
 def _after_trial(evidence: Evidence) -> Decision | None:
     age_ms, planned_ms = evidence.order_age_ms, evidence.planned_shift_ms
-    if not evidence.has_old and evidence.has_new and age_ms >= MIN_AGE_WITHOUT_OLD_MS:
-        return Decision(RolloutPhase.COMPLETED, "no target runs another version")
     is_time = planned_ms - EARLY_SHIFT_MS <= age_ms <= planned_ms + LATE_SHIFT_MS
     if evidence.verdict is Verdict.GOOD and evidence.has_majority and is_time:
         return Decision(RolloutPhase.SHIFT, "the new version is good")
--- a/testing/features/rollouts.feature
+++ b/testing/features/rollouts.feature
@@ -106,6 +106,64 @@
       | shift | undecided | 11.7 | 300     | all      | rolled_back |
       | shift | good      | 11.7 | 300     | few      | rolled_back |
 
+  Scenario Outline: A <verdict> version without another one, in the <phase> at <age> s: <next>
+    Guards against a rollback of the version that the service runs, after which nothing serves it.
+    Then a "<verdict>" version, <new>, without another one in the "<phase>" at <age> s is <next>
+
+    Examples: an order of 12 s
+      | phase | verdict   | age  | new     | next      |
+      | trial | bad       | 1.0  | present | trial     |
+      | trial | undecided | 2.9  | present | trial     |
+      | trial | bad       | 3.0  | present | completed |
+      | trial | undecided | 3.0  | present | completed |
+      | trial | undecided | 9.2  | missing | trial     |
+      | trial | bad       | 13.0 | missing | trial     |
+      | shift | bad       | 9.0  | present | completed |
+      | shift | suspect   | 11.9 | present | completed |
+
+  Scenario: A short order for the only version is not rolled back
+    Guards against a deadline that passes before an entry may be sure that no other version runs.
+    Then an order of 3 s for the only version is in the trial at 2 s, and completed at 3 s
+
+  Scenario Outline: After "<earlier>" and <order>, with <registered> registered: <served>
+    Guards against a service whose requests get no target until the next order.
+    Then after "<earlier>" and <order>, with targets of <registered>, requests go to <served>
+
+    Examples: an earlier rollout of v2 from v1, after one of v0 that was rolled back
+      | earlier     | order        | registered | served |
+      | rolled_back | no order     | v1 v2      | v1     |
+      | rolled_back | no order     | v2         | v2     |
+      | rolled_back | no order     | v0 v2      | v0 v2  |
+      | rolled_back | no order     | v0 v1      | v1     |
+      | rolled_back | no order     | v0         | v0     |
+      | completed   | no order     | v1 v2      | v2     |
+      | completed   | no order     | v1         | v1     |
+      | completed   | no order     | v0         | v0     |
+      | rolled_back | order for v3 | v1 v2      | v1     |
+      | rolled_back | order for v3 | v2         | v2     |
+      | rolled_back | order for v3 | v2 v3      | v3     |
+      | rolled_back | order for v1 | v1 v2      | v1     |
+      | rolled_back | order for v2 | v2         | v2     |
+      | completed   | order for v2 | v2         | v2     |
+      | completed   | order for v2 | v1 v2      | v1     |
+
+  Scenario: Without any target, no target of another version counts
+    Guards against a rollback at the deadline because the targets register late.
+    Then without targets, no old version counts, whichever versions are rejected
+
+  Scenario: A lead keeps only rejected versions that are still registered
+    Guards against versions that stay refused for ever although their rollback is long over.
+    Then of the rejected versions v0 and v2, a lead keeps v2 if only v1 and v2 are registered
+
+  Scenario Outline: A completed version that is ordered again with <registered> is <begun>
+    Guards against an order that completes without a trial although requests have to move.
+    Then a lead writes "<begun>" for the completed version with targets of <registered>
+
+    Examples:
+      | registered | begun     |
+      | v2         | completed |
+      | v1 v2      | trial     |
+
   Scenario Outline: A version with <fault> at <per_s> requests a second
     Guards against more requests of a bad version than allowed, and good ones that never complete.
     Then of <runs> rollouts, at least <expected> end as <end> within the bounds
--- a/testing/features/steps/rollout_entry_steps.py
+++ b/testing/features/steps/rollout_entry_steps.py
@@ -181,6 +181,48 @@
     assert len(store.written) == 1, store.written
 
 
+def _begun(versions, *, target_version, earlier):
+    """Return the state that a lead writes for an order after the state ``earlier``."""
+    catalog, store = Catalog(), _StateStore()
+    changes = [versioned_target(v, v) for v in versions]
+    order = msgspec.structs.replace(_order("s", 11), target_version=target_version)
+    changes += [RolloutPhaseSeen(earlier), RolloutOrdered(order)]
+    catalog.apply(changes, now_ms=now_ms())
+    curio.run(_rollouts(catalog, store).check)
+    (state,) = store.states
+    return state
+
+
+class _StateStore:
+    """Takes all writes."""
+
+    def __init__(self):
+        self.states = []
+
+    async def write_rollout(self, state):
+        """Keep what was written."""
+        self.states.append(state)
+        return True
+
+
+def _ended(phase, **fields):
+    return RolloutState(service="s", target_version="v2", order_revision=7, phase=phase, **fields)
+
+
+@then("of the rejected versions v0 and v2, a lead keeps v2 if only v1 and v2 are registered")
+def then_pruned(context):
+    earlier = _ended(RolloutPhase.ROLLED_BACK, rejected=("v0",))
+    state = _begun(("v1", "v2"), target_version="v3", earlier=earlier)
+    assert (state.phase, state.rejected) == (RolloutPhase.TRIAL, ("v2",)), state
+
+
+@then('a lead writes "{phase}" for the completed version with targets of {versions}')
+def then_begun(context, phase, versions):
+    earlier = _ended(RolloutPhase.COMPLETED)
+    state = _begun(versions.split(), target_version="v2", earlier=earlier)
+    assert state.phase is RolloutPhase(phase), state
+
+
 # -- the model of a fleet
 
 
--- a/testing/features/steps/rollout_steps.py
+++ b/testing/features/steps/rollout_steps.py
@@ -15,6 +15,7 @@
     RolloutPhase,
     RolloutPhaseSeen,
     RolloutState,
+    RolloutWithdrawn,
     StorePosition,
     TargetSeen,
 )
@@ -39,6 +40,7 @@
 from kingcupusher_platform.store import StoreClient
 from standins.ports import free_address
 from testing.features.steps.users_platform_steps import REGISTRATION
+from testing.gateway.rollout_entry import versioned_target
 from testing.properties import check_property
 from testing.rollout_model import Machine
 
@@ -229,6 +231,32 @@
     assert (rollout.order_revision, rollout.phase) == (11, RolloutPhase(phase)), rollout
 
 
+@then('after "{earlier}" and {order}, with targets of {versions}, requests go to {served}')
+def then_served(context, earlier, order, versions, served):
+    catalog = Catalog()
+    ended = _state(RolloutPhase(earlier), rejected=("v0",), revision=8)
+    catalog.apply([_decode("op/rollout/s", ORDER), RolloutPhaseSeen(ended)], now_ms=NOW_MS)
+    ordered = RolloutWithdrawn("s")
+    if order != "no order":
+        version = order.removeprefix("order for ").encode()
+        ordered = _decode("op/rollout/s", ORDER.replace(b"v2", version), revision=11)
+    catalog.apply([ordered], now_ms=NOW_MS)
+    catalog.apply([versioned_target(v, v) for v in versions.split()], now_ms=0.0)
+    traffic = RolloutTraffic(catalog, Metrics(), rng=Random(1))
+    allowed = traffic.allowed("s", catalog.usable_targets("s"), OLD_VERSION_DRAW)
+    assert sorted(t.version for t in allowed) == served.split(), allowed
+
+
+@then("without targets, no old version counts, whichever versions are rejected")
+def then_no_old(context):
+    for rejected in ((), ("v0",)):
+        catalog = Catalog()
+        seen = RolloutPhaseSeen(_state(RolloutPhase.TRIAL, rejected=rejected))
+        catalog.apply([_decode("op/rollout/s", ORDER), seen], now_ms=NOW_MS)
+        rollout = catalog.rollouts.in_force("s")
+        assert not RolloutTraffic(catalog, Metrics(), rng=None).has_old(rollout), rejected
+
+
 # -- verdicts
 
 
@@ -304,3 +332,30 @@
     )
     decision = decide(RolloutPhase(phase), evidence)
     assert (decision.phase if decision else RolloutPhase(phase)) is RolloutPhase(end), decision
+
+
+def _decide_without_old(phase, verdict, age_s, *, duration_s=12, has_new=True):
+    evidence = Evidence(
+        verdict=Verdict(verdict),
+        requests=int(100 * age_s),
+        exposed=int(100 * age_s),
+        order_age_ms=age_s * 1_000.0,
+        phase_age_ms=age_s * 1_000.0,
+        duration_ms=duration_s * 1_000.0,
+        has_majority=True,
+        has_old=False,
+        has_new=has_new,
+    )
+    decision = decide(RolloutPhase(phase), evidence)
+    return decision.phase.value if decision else phase
+
+
+@then('a "{verdict}" version, {new}, without another one in the "{phase}" at {age:g} s is {end}')
+def then_decided_without_old(context, verdict, new, phase, age, end):
+    assert _decide_without_old(phase, verdict, age, has_new=new == "present") == end
+
+
+@then("an order of 3 s for the only version is in the trial at 2 s, and completed at 3 s")
+def then_short_order(context):
+    phases = [_decide_without_old("trial", "undecided", s, duration_s=3) for s in (2.0, 3.0)]
+    assert phases == ["trial", "completed"], phases
