Complete a rollout when the entries have moved, and in time

Cause: the lead completed by time alone, while an entry could still be in its ramp or have requests at old targets, which then stop without draining. An entry that joined in the shift began the ramp anew. The time of the shift counted from when the lead saw it, and a shift could begin 2.9 s before the deadline and last 3 s, so that a good version was rolled back.

Change: a report names the phase that the entry follows and its attempts in flight to old targets. The lead waits for all linked entries, at most until 0.4 s before the deadline. The shift counts from its write and lasts at least 2.5 s, which fits behind its latest beginning. An entry that joins in the shift skips the ramp. The table row for a shift that lasts at 11.5 s is replaced by rows for 11.0 s and 11.1 s, the bounds of the shorter shift, and by one each for a minority and for an undecided verdict.

--- a/src/kingcupusher/_discovery/rollout_states.py
+++ b/src/kingcupusher/_discovery/rollout_states.py
@@ -25,7 +25,8 @@
 
     ``phase`` is None before a lead has written one. ``phase_seen_ms`` is when this entry saw it.
     ``rejected`` versions get no requests, except while all registered targets run one of them
-    (``has_only_rejected``): then nothing else could serve the requests.
+    (``has_only_rejected``): then nothing else could serve the requests. ``is_first_phase`` is
+    whether this entry knew no phase of the order before.
     """
 
     service: str
@@ -35,6 +36,7 @@
     phase_seen_ms: float = 0.0
     rejected: tuple[str, ...] = ()
     has_only_rejected: bool = False
+    is_first_phase: bool = False
 
 
 class RolloutStates:
@@ -46,6 +48,7 @@
 
     __slots__ = (
         "_final",
+        "_first_phases",
         "_notify",
         "_phase_seen_ms",
         "_versions",
@@ -64,6 +67,7 @@
         self._written_ms: dict[str, float] = {}
         self._phase_seen_ms: dict[str, float] = {}
         self._final: dict[str, RolloutState] = {}
+        self._first_phases: dict[str, bool] = {}
 
     def apply(self, change: Change, *, now_ms: float) -> None:
         """Apply a change of an order or a phase; ignore others."""
@@ -174,6 +178,8 @@
         if before == state:
             return
         self._phase_seen_ms[state.service] = now_ms
+        is_first = before is None or before.order_revision != state.order_revision
+        self._first_phases[state.service] = is_first
         order = self.orders.get(state.service)
         if order is not None and order.revision == state.order_revision:
             self.raise_order_age(state.service, state.order_age_ms, now_ms=now_ms)
@@ -217,6 +223,7 @@
             phase_seen_ms=self._phase_seen_ms.get(state.service, 0.0),
             rejected=() if has_only_rejected else state.rejected,
             has_only_rejected=has_only_rejected,
+            is_first_phase=self._first_phases.get(state.service, False),
         )
 
 
--- a/src/kingcupusher/_gateway/exchange.py
+++ b/src/kingcupusher/_gateway/exchange.py
@@ -89,6 +89,7 @@
                 self._token.give_back()
             for attempt in self._attempts:
                 attempt.share.release()
+                self._gateway.rollouts.on_end(attempt)
 
     async def _run(self) -> None:
         try:
--- a/src/kingcupusher/_gateway/rollout_traffic.py
+++ b/src/kingcupusher/_gateway/rollout_traffic.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from kingcupusher._core import now_ms as monotonic_ms
-from kingcupusher._discovery import Catalog, Rollout, RolloutOrder, Target
+from kingcupusher._discovery import Catalog, Rollout, RolloutOrder, RolloutPhase, Target
 from kingcupusher._gateway.attempt import Attempt, AttemptOutcome, AttemptResult
 from kingcupusher._limits.rollout_ledger import EntryCounts, RouteOutcomes
 from kingcupusher._observe.metrics_registry import Metrics, labels
@@ -26,7 +26,7 @@
 class RolloutTraffic:
     """Applies the rollouts in force to the requests of this entry, and counts their responses."""
 
-    __slots__ = ("_catalog", "_counts", "_has_old", "_metrics", "_rng")
+    __slots__ = ("_catalog", "_counts", "_has_old", "_in_flight", "_metrics", "_rng")
 
     def __init__(self, catalog: Catalog, metrics: Metrics, *, rng: Random) -> None:
         self._catalog = catalog
@@ -34,6 +34,7 @@
         self._rng = rng
         self._counts: dict[str, tuple[int, EntryCounts]] = {}
         self._has_old: set[tuple[str, int]] = set()
+        self._in_flight: dict[int, Attempt] = {}
 
     # -- choice
 
@@ -52,16 +53,28 @@
         if rollout is None:
             return targets
         current_ms = monotonic_ms()
-        rule = VersionRule(
-            service=service,
+        rule = self._rule(rollout, current_ms)
+        return choose_targets(targets, rule, draw=draw, now_ms=current_ms)
+
+    def followed_phase(self, service: str) -> RolloutPhase | None:
+        """Return the phase that new requests follow; until the ramp is over, that is the trial."""
+        rollout = self._catalog.rollouts.in_force(service)
+        if rollout is None or rollout.phase is not RolloutPhase.SHIFT:
+            return None if rollout is None else rollout.phase
+        has_shifted = self._rule(rollout, monotonic_ms()).new_share() >= 1.0
+        return RolloutPhase.SHIFT if has_shifted else RolloutPhase.TRIAL
+
+    def _rule(self, rollout: Rollout, current_ms: float) -> VersionRule:
+        return VersionRule(
+            service=rollout.service,
             target_version=rollout.target_version,
             phase=rollout.phase,
             phase_age_ms=current_ms - rollout.phase_seen_ms,
             rejected=rollout.rejected,
             has_old=self.has_old(rollout),
             has_new=self.has_new(rollout),
+            skips_ramp=rollout.is_first_phase,
         )
-        return choose_targets(targets, rule, draw=draw, now_ms=current_ms)
 
     def has_old(self, rollout: Rollout) -> bool:
         """Return whether a target of another version was registered since the order.
@@ -91,6 +104,7 @@
 
     def on_send(self, attempt: Attempt, *, is_first: bool) -> None:
         """Count a request that is sent to a target, the first time or again."""
+        self._in_flight[id(attempt)] = attempt
         target = attempt.probed.target
         service = target.record.service
         order = self._active_order(service)
@@ -106,6 +120,7 @@
     def on_result(self, route: str, result: AttemptResult) -> None:
         """Count what an attempt tells about the version of its target."""
         attempt = result.attempt
+        self.on_end(attempt)
         order = self._active_order(attempt.probed.target.record.service)
         if order is None or not result.was_sent:
             return
@@ -123,6 +138,17 @@
             attempt.ended_ms - attempt.sent_ms, is_failure=is_failure
         )
 
+    def on_end(self, attempt: Attempt) -> None:
+        """Forget an attempt that is no longer in flight, with or without a result."""
+        self._in_flight.pop(id(attempt), None)
+
+    def old_in_flight(self, order: RolloutOrder) -> int:
+        """Return the number of attempts in flight to targets of other versions."""
+        targets = (attempt.probed.target for attempt in self._in_flight.values())
+        return sum(
+            t.record.service == order.service and t.version != order.target_version for t in targets
+        )
+
     def counts_since(self, order: RolloutOrder) -> EntryCounts:
         """Return the counts since this entry learned of ``order``."""
         known = self._counts.get(order.service)
--- a/src/kingcupusher/_gateway/rollouts.py
+++ b/src/kingcupusher/_gateway/rollouts.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 import curio
-from msgspec import Struct
+from msgspec import Struct, field
 from msgspec.structs import replace
 
 from kingcupusher._core import now_ms
@@ -58,10 +58,14 @@
 
 
 class _Case(Struct):
-    """A rollout as its lead knows it; nothing is written before ``retry_ms``."""
+    """A rollout as its lead knows it; nothing is written before ``retry_ms``.
+
+    ``has_moved`` is, by entry, what its last report says.
+    """
 
     order_revision: int
     ledger: RolloutLedger
+    has_moved: dict[str, bool] = field(default_factory=dict)
     phase: RolloutPhase | None = None
     retry_ms: float = 0.0
 
@@ -123,7 +127,13 @@
             # The lead keeps its own report, which must not change with the counts.
             counts = self._traffic.counts_since(order).copy()
             message = RolloutReport(
-                order.service, order.revision, round(age_ms), self._run_id, counts
+                order.service,
+                order.revision,
+                round(age_ms),
+                self._run_id,
+                counts,
+                self._traffic.followed_phase(order.service),
+                self._traffic.old_in_flight(order),
             )
             try:
                 await self._link.tell(message)
@@ -181,7 +191,9 @@
         order = self._catalog.rollouts.orders.get(message.service)
         if order is None or order.revision != message.order_revision:
             return
-        self._case(order).ledger.add(entry, message.run, message.counts)
+        case = self._case(order)
+        case.ledger.add(entry, message.run, message.counts)
+        case.has_moved[entry] = message.has_moved
         self._catalog.rollouts.raise_order_age(
             order.service, float(message.order_age_ms), now_ms=now_ms()
         )
@@ -212,24 +224,27 @@
             return
         if now_ms() < self._wait_until_ms:
             return
-        decision = decide(state.phase, self._evidence(order, case))
+        decision = decide(state.phase, self._evidence(order, case, state))
         if decision is not None:
             await self._write(case, state.phase, replace(state, phase=decision.phase), decision)
 
-    def _evidence(self, order: RolloutOrder, case: _Case) -> Evidence:
+    def _evidence(self, order: RolloutOrder, case: _Case, state: RolloutState) -> Evidence:
         current_ms = now_ms()
         rollouts = self._catalog.rollouts
         rollout = rollouts.in_force(order.service)
         assert rollout is not None
+        order_age_ms = rollouts.order_age_ms(order.service, now_ms=current_ms)
+        linked = self._server.linked_entries
         known = self._catalog.live_entries.names(now_ms=current_ms)
         return Evidence(
             verdict=case.ledger.verdict(now_ms=current_ms),
             requests=case.ledger.requests,
             exposed=case.ledger.exposed,
-            order_age_ms=rollouts.order_age_ms(order.service, now_ms=current_ms),
-            phase_age_ms=current_ms - rollout.phase_seen_ms,
+            order_age_ms=order_age_ms,
+            phase_age_ms=order_age_ms - state.order_age_ms,
             duration_ms=order.duration_ms,
-            has_majority=2 * len(self._server.linked_entries) >= len(known),
+            has_majority=2 * len(linked) >= len(known),
+            have_all_moved=all(case.has_moved.get(entry, False) for entry in linked),
             has_old=self._traffic.has_old(rollout),
             has_new=self._traffic.has_new(rollout),
         )
--- a/src/kingcupusher/_limits/rollout_phases.py
+++ b/src/kingcupusher/_limits/rollout_phases.py
@@ -7,15 +7,15 @@
 from kingcupusher._discovery.model import RolloutPhase
 from kingcupusher._limits.rollout_verdict import Verdict
 
-SHIFT_MS = 3_000.0
-"""At the end of the shift the old targets stop without draining. Entries learn of the shift up to
-2 s after its write, mostly within 0.5 s, move all requests within 0.8 s and finish the old ones."""
+SHIFT_MS = 2_500.0
+"""Shortest time from the write of the shift to its end, when the old targets stop without draining.
+Entries mostly learn of the shift within 0.5 s, move all requests within 0.8 s, finish the old ones,
+and report that within 1 s."""
 WRITE_MARGIN_MS = 400.0
 """A write takes 4 ms, 200 ms while the store is slow."""
-EARLY_SHIFT_MS = 300.0
-LATE_SHIFT_MS = 500.0
-"""The shift begins at most this much earlier or later than planned. Before, more evidence is
-better: a fault that begins late costs a tenth if it is found in the trial."""
+SHIFT_WINDOW_MS = 800.0
+"""The shift begins within this time before the last moment that lets it end by the deadline. More
+evidence before it is better: a fault that begins late costs a tenth if it is found in the trial."""
 EXPOSURE_SHARE = 0.1
 EXPOSURE_SLACK = 50.0
 DETECTION_MS = 1_500.0
@@ -30,7 +30,9 @@
 
     ``has_majority`` is whether at least half of the known entries are linked to this lead. Of two
     leads, only one may move requests to the new version, and both may roll it back. ``has_old`` is
-    whether a target of another version was registered since the order.
+    whether a target of another version was registered since the order. ``have_all_moved`` is
+    whether all linked entries reported that they send nothing to other versions any more.
+    ``phase_age_ms`` counts from the write of the phase, however late this lead saw it.
     """
 
     verdict: Verdict
@@ -42,10 +44,11 @@
     has_majority: bool
     has_old: bool = True
     has_new: bool = True
+    have_all_moved: bool = True
 
     @property
-    def planned_shift_ms(self) -> float:
-        """Age of the order at which the shift is due to be completed in time."""
+    def latest_shift_ms(self) -> float:
+        """Age of the order until which a shift may begin and be completed in time."""
         return self.duration_ms - SHIFT_MS - WRITE_MARGIN_MS
 
     @property
@@ -87,11 +90,11 @@
 
 
 def _after_trial(evidence: Evidence) -> Decision | None:
-    age_ms, planned_ms = evidence.order_age_ms, evidence.planned_shift_ms
-    is_time = planned_ms - EARLY_SHIFT_MS <= age_ms <= planned_ms + LATE_SHIFT_MS
+    age_ms, latest_ms = evidence.order_age_ms, evidence.latest_shift_ms
+    is_time = latest_ms - SHIFT_WINDOW_MS <= age_ms <= latest_ms
     if evidence.verdict is Verdict.GOOD and evidence.has_majority and is_time:
         return Decision(RolloutPhase.SHIFT, "the new version is good")
-    if age_ms > planned_ms + LATE_SHIFT_MS:
+    if age_ms > latest_ms:
         return Decision(RolloutPhase.ROLLED_BACK, "the evidence is not enough")
     return None
 
@@ -99,8 +102,11 @@
 def _after_shift(evidence: Evidence) -> Decision | None:
     if evidence.phase_age_ms < SHIFT_MS:
         return None
-    if evidence.verdict is Verdict.GOOD and evidence.has_majority:
+    is_last_moment = evidence.order_age_ms >= evidence.duration_ms - WRITE_MARGIN_MS
+    may_complete = evidence.verdict is Verdict.GOOD and evidence.has_majority
+    # A rollback would move the requests of all entries back because of one that does not report.
+    if may_complete and (evidence.have_all_moved or is_last_moment):
         return Decision(RolloutPhase.COMPLETED, "the new version is good")
-    if evidence.order_age_ms >= evidence.duration_ms - WRITE_MARGIN_MS:
+    if is_last_moment:
         return Decision(RolloutPhase.ROLLED_BACK, "the evidence is not enough")
     return None
--- a/src/kingcupusher/_relay/messages.py
+++ b/src/kingcupusher/_relay/messages.py
@@ -12,7 +12,7 @@
 
 from msgspec import Struct
 
-from kingcupusher._discovery import Change, StorePosition
+from kingcupusher._discovery import Change, RolloutPhase, StorePosition
 from kingcupusher._limits.quota_terms import TokenAnswer, TokenWish
 from kingcupusher._limits.rollout_ledger import EntryCounts
 from kingcupusher._peers import codec
@@ -74,7 +74,9 @@
 class RolloutReport(Struct, array_like=True, frozen=True, tag=11):
     """What an entry counted since the order of a rollout that is identified by its revision.
 
-    ``run`` differs after a restart of the entry, which counts from 0 again.
+    ``run`` differs after a restart of the entry, which counts from 0 again. ``phase`` is the one
+    that new requests of the entry follow, and ``old_in_flight`` the number of its attempts in
+    flight to targets of other versions.
     """
 
     service: str
@@ -82,6 +84,13 @@
     order_age_ms: int
     run: int
     counts: EntryCounts
+    phase: RolloutPhase | None = None
+    old_in_flight: int = 0
+
+    @property
+    def has_moved(self) -> bool:
+        """Whether all requests of the entry go to the new version."""
+        return self.phase is RolloutPhase.SHIFT and not self.old_in_flight
 
 
 class TokenRequest(Struct, array_like=True, frozen=True, tag=2):
--- a/src/kingcupusher/_routing/version_choice.py
+++ b/src/kingcupusher/_routing/version_choice.py
@@ -49,7 +49,8 @@
     """What a rollout orders for the requests of a service now.
 
     ``phase`` is None before the trial. ``has_old`` is whether any target of another version is
-    registered, usable or not; ``has_new`` likewise. ``rejected`` versions get no requests.
+    registered, usable or not; ``has_new`` likewise. ``rejected`` versions get no requests. An entry
+    that joins in the shift skips the ramp, which the other entries began before.
     """
 
     service: str
@@ -59,12 +60,15 @@
     rejected: tuple[str, ...] = ()
     has_old: bool = True
     has_new: bool = True
+    skips_ramp: bool = False
 
     def new_share(self) -> float:
         """Return the share of the requests that may go to the new version."""
         if self.phase is RolloutPhase.TRIAL:
             return CANARY_SHARE
         if self.phase is RolloutPhase.SHIFT:
+            if self.skips_ramp:
+                return 1.0
             progress = min(1.0, max(0.0, self.phase_age_ms) / RAMP_MS)
             return RAMP_START_SHARE + (1.0 - RAMP_START_SHARE) * progress
         return 1.0 if self.phase is RolloutPhase.COMPLETED else 0.0
--- a/testing/features/rollouts.feature
+++ b/testing/features/rollouts.feature
@@ -101,11 +101,48 @@
       | shift | bad       | 9.0  | 60      | few      | rolled_back |
       | shift | suspect   | 8.8  | 10      | all      | shift       |
       | shift | suspect   | 9.6  | 110     | all      | rolled_back |
-      | shift | good      | 11.5 | 300     | all      | shift       |
-      | shift | good      | 11.7 | 300     | all      | completed   |
+      | shift | good      | 11.0 | 300     | all      | shift       |
+      | shift | good      | 11.1 | 300     | all      | completed   |
+      | shift | good      | 11.1 | 300     | few      | shift       |
+      | shift | undecided | 11.5 | 300     | all      | shift       |
       | shift | undecided | 11.7 | 300     | all      | rolled_back |
       | shift | good      | 11.7 | 300     | few      | rolled_back |
 
+  Scenario Outline: A good version whose entries have <moved> at <age> s: <next>
+    Guards against old targets that stop while an entry still sends to them.
+    Then a good version in the shift whose entries have <moved> at <age> s is <next>
+
+    Examples: an order of 12 s whose shift began at 8.6 s
+      | moved       | age  | next      |
+      | moved       | 11.1 | completed |
+      | not moved   | 11.1 | shift     |
+      | not moved   | 11.5 | shift     |
+      | not moved   | 11.6 | completed |
+
+  Scenario: A shift ends before the deadline whenever it began
+    Guards against a good version that is rolled back because its shift began late.
+    Then for any order and any time of the shift, a good version is completed before the deadline
+
+  Scenario Outline: A lead that sees the shift late, with an entry that <report>: <written>
+    Guards against a shift whose time begins when the lead sees it, and against entries left behind.
+    Then a lead that sees a shift 3 s late, linked to an entry that <report>, writes <written>
+
+    Examples:
+      | report                                  | written   |
+      | follows the shift                       | completed |
+      | is in the ramp                          | nothing   |
+      | waits for a response of the old version | nothing   |
+      | did not report                          | nothing   |
+
+  Scenario: An entry that joins in the shift skips the ramp
+    Guards against an entry that sends to old targets until they stop.
+    Then in the shift, an entry that joined sends all requests to the new version
+    And one that saw the trial begins with a part of them
+
+  Scenario: Attempts to old targets are in flight until they end
+    Guards against old targets that stop before they respond to requests from before the order.
+    Then an attempt to an old target that began before the order is in flight until it ends
+
   Scenario Outline: A <verdict> version without another one, in the <phase> at <age> s: <next>
     Guards against a rollback of the version that the service runs, after which nothing serves it.
     Then a "<verdict>" version, <new>, without another one in the "<phase>" at <age> s is <next>
--- a/testing/features/steps/rollout_entry_steps.py
+++ b/testing/features/steps/rollout_entry_steps.py
@@ -153,12 +153,18 @@
     )
 
 
-def _rollouts(catalog, store):
+def _rollouts(catalog, store, server=None):
     traffic = RolloutTraffic(catalog, Metrics(), rng=None)
     link = SimpleNamespace(is_lead=True, lead="e1")
     rng = SimpleNamespace(randrange=lambda _limit: 1)
     return Rollouts(
-        catalog, traffic, link, LeadServer(), store, on_event=lambda *_a, **_f: None, rng=rng
+        catalog,
+        traffic,
+        link,
+        server or LeadServer(),
+        store,
+        on_event=lambda *_a, **_f: None,
+        rng=rng,
     )
 
 
@@ -223,6 +229,38 @@
     assert state.phase is RolloutPhase(phase), state
 
 
+@then("a lead that sees a shift 3 s late, linked to an entry that {report}, writes {written}")
+def then_moved_entries(context, report, written):
+    catalog, server, store = Catalog(), LeadServer(), _StateStore()
+    rollouts = _rollouts(catalog, store, server)
+    changes = _changes(RolloutPhase.SHIFT, duration_ms=12_000.0)
+    state = msgspec.structs.replace(changes[1].state, order_age_ms=8_000.0)
+    targets = [versioned_target(v, v) for v in ("v1", "v2")]
+    catalog.apply([*targets, changes[0], RolloutPhaseSeen(state)], now_ms=now_ms())
+    for entry in ("e1", "e2"):
+        server.link(entry)
+    good = Outcomes(0, {13: 100})
+    counts = EntryCounts(200, 100, {"a": RouteOutcomes(good, good)})
+    shift = (RolloutPhase.SHIFT, 0)
+    server.handle("e1", RolloutReport("s", 7, 11_000, 1, counts, *shift))
+    reported = {
+        "follows the shift": shift,
+        "is in the ramp": (RolloutPhase.TRIAL, 0),
+        "waits for a response of the old version": (RolloutPhase.SHIFT, 1),
+    }.get(report)
+    if reported:
+        server.handle("e2", RolloutReport("s", 7, 11_000, 1, EntryCounts(), *reported))
+
+    async def main():
+        await rollouts.check()
+        rollouts._wait_until_ms = 0.0
+        await rollouts.check()
+
+    curio.run(main)
+    phases = [state.phase.value for state in store.states]
+    assert phases == ([] if written == "nothing" else [written]), phases
+
+
 # -- the model of a fleet
 
 
--- a/testing/features/steps/rollout_steps.py
+++ b/testing/features/steps/rollout_steps.py
@@ -4,12 +4,14 @@
 
 import json
 from random import Random
+from types import SimpleNamespace
 
 import curio
 import msgspec
 from behave import given, then
 from hypothesis import strategies as st
 
+from kingcupusher._core import now_ms
 from kingcupusher._discovery import (
     Catalog,
     RolloutPhase,
@@ -19,6 +21,7 @@
     StorePosition,
     TargetSeen,
 )
+from kingcupusher._gateway.attempt import AttemptOutcome, AttemptResult
 from kingcupusher._gateway.rollout_traffic import RolloutTraffic
 from kingcupusher._http.simple_client import Response
 from kingcupusher._http.simple_server import serve
@@ -334,6 +337,109 @@
     assert (decision.phase if decision else RolloutPhase(phase)) is RolloutPhase(end), decision
 
 
+def _shift_end(began_ms, age_ms, duration_ms, *, have_all_moved=True):
+    evidence = Evidence(
+        verdict=Verdict.GOOD,
+        requests=1_000,
+        exposed=300,
+        order_age_ms=age_ms,
+        phase_age_ms=age_ms - began_ms,
+        duration_ms=duration_ms,
+        has_majority=True,
+        have_all_moved=have_all_moved,
+    )
+    decision = decide(RolloutPhase.SHIFT, evidence)
+    return decision.phase.value if decision else "shift"
+
+
+@then("a good version in the shift whose entries have {moved} at {age:g} s is {end}")
+def then_moved(context, moved, age, end):
+    have_all_moved = moved == "moved"
+    assert _shift_end(8_600.0, age * 1e3, 12_000.0, have_all_moved=have_all_moved) == end
+
+
+@then("for any order and any time of the shift, a good version is completed before the deadline")
+def then_ends_in_time(context):
+    def prop(duration_ms, good_from_ms, offset_ms):
+        age_ms, phase, began_ms, has_shifted = offset_ms, RolloutPhase.TRIAL, 0.0, False
+        while not phase.is_final:
+            is_good = age_ms >= duration_ms - good_from_ms
+            evidence = Evidence(
+                verdict=Verdict.GOOD if is_good else Verdict.UNDECIDED,
+                requests=1_000,
+                exposed=30,
+                order_age_ms=age_ms,
+                phase_age_ms=age_ms - began_ms,
+                duration_ms=duration_ms,
+                has_majority=True,
+            )
+            decision = decide(phase, evidence)
+            if decision is not None:
+                phase, began_ms = decision.phase, age_ms
+            has_shifted = has_shifted or phase is RolloutPhase.SHIFT
+            age_ms += 100.0
+        # A version that is good too late is rolled back from the trial, without a shift.
+        assert phase is RolloutPhase.COMPLETED or not has_shifted, age_ms
+        assert has_shifted or good_from_ms < 3_000.0
+        assert age_ms <= duration_ms or not has_shifted, age_ms
+
+    check_property(
+        context,
+        prop,
+        duration_ms=st.floats(4_000.0, 20_000.0),
+        good_from_ms=st.floats(2_000.0, 4_000.0),
+        offset_ms=st.floats(0.0, 99.0),
+    )
+
+
+def _shift_catalog(*phases, seen_ms):
+    catalog = Catalog()
+    targets = [versioned_target(v, v) for v in ("v1", "v2")]
+    catalog.apply([*targets, _decode("op/rollout/s", ORDER)], now_ms=0.0)
+    seen = [RolloutPhaseSeen(_state(phase)) for phase in phases]
+    catalog.apply(seen, now_ms=seen_ms)
+    return catalog
+
+
+def _versions_of_late_draw(catalog):
+    traffic = RolloutTraffic(catalog, Metrics(), rng=Random(1))
+    allowed = traffic.allowed("s", catalog.usable_targets("s"), 0.9)
+    return {t.version for t in allowed}, traffic.followed_phase("s")
+
+
+@then("in the shift, an entry that joined sends all requests to the new version")
+def then_joined(context):
+    catalog = _shift_catalog(RolloutPhase.SHIFT, seen_ms=now_ms())
+    assert _versions_of_late_draw(catalog) == ({"v2"}, RolloutPhase.SHIFT)
+
+
+@then("one that saw the trial begins with a part of them")
+def then_ramp(context):
+    catalog = _shift_catalog(RolloutPhase.TRIAL, RolloutPhase.SHIFT, seen_ms=now_ms())
+    assert _versions_of_late_draw(catalog) == ({"v1"}, RolloutPhase.TRIAL)
+
+
+@then("an attempt to an old target that began before the order is in flight until it ends")
+def then_in_flight(context):
+    catalog = Catalog()
+    catalog.apply([versioned_target(v, v) for v in ("v1", "v2")], now_ms=0.0)
+    traffic = RolloutTraffic(catalog, Metrics(), rng=Random(1))
+    attempts = [
+        SimpleNamespace(probed=SimpleNamespace(target=catalog.targets[v]), sent_ms=0.0)
+        for v in ("v1", "v1", "v2")
+    ]
+    for attempt in attempts:
+        traffic.on_send(attempt, is_first=True)
+    order = _decode("op/rollout/s", ORDER)
+    catalog.apply([order], now_ms=0.0)
+    counts = [traffic.old_in_flight(order.order)]
+    traffic.on_result("a", AttemptResult(attempts[0], AttemptOutcome.NOT_RUN))
+    counts.append(traffic.old_in_flight(order.order))
+    traffic.on_end(attempts[1])
+    counts.append(traffic.old_in_flight(order.order))
+    assert counts == [2, 1, 0], counts
+
+
 def _decide_without_old(phase, verdict, age_s, *, duration_s=12, has_new=True):
     evidence = Evidence(
         verdict=Verdict(verdict),
