Move requests only to enough targets, and keep rejections

Cause: nothing compared the number of warm targets of the new version with that of the old one before all requests moved. After a restored store, the lead began a second order from the phase in the store, and the entries from the final phase that they saw. When an order was withdrawn in its trial, versions that earlier orders had rejected got requests again.

Change: shift and completion need 0.8 of the slots of the usable old targets. Lead and entries take the earlier rollout from one method. Without an order and a final phase, the rejected versions of the last phase get nothing, unless no other version is registered.

Result: the 12 scenarios added pass. Without the changes to src/, 3 fail, and 8 end with an error because has_capacity does not exist. With the lead's view of the earlier rollout alone reverted, the scenario on the restored store fails.

--- a/src/kingcupusher/_discovery/rollout_states.py
+++ b/src/kingcupusher/_discovery/rollout_states.py
@@ -109,7 +109,7 @@
             return self._rollout(final)
         if state is not None and state.order_revision == order.revision:
             return self._rollout(state)
-        earlier = final or state
+        earlier = self.earlier(service)
         versions = self._versions(service)
         if earlier is not None and repeats_completed(order, earlier, versions):
             return self._rollout(earlier)
@@ -124,6 +124,23 @@
             has_only_rejected=has_only_rejected,
         )
 
+    def earlier(self, service: str) -> RolloutState | None:
+        """Return the last rollout before an order that has no phase yet.
+
+        A final phase that was seen counts more than the phase in a restored store.
+        """
+        return self._final.get(service) or self.states.get(service)
+
+    def refused(self, service: str) -> tuple[str, ...]:
+        """Return the versions that get no requests although no rollout is in force.
+
+        Those are the rejected ones of a rollout whose order was withdrawn before its end.
+        """
+        state = self.states.get(service)
+        if state is None or state.phase.is_final or not state.rejected:
+            return ()
+        return () if _has_only(state.rejected, self._versions(service)) else state.rejected
+
     def active_orders(self) -> list[RolloutOrder]:
         """Return the orders whose rollout has not ended, as far as this entry knows."""
         return [o for o in self.orders.values() if not self._has_ended(o)]
--- a/src/kingcupusher/_gateway/rollout_traffic.py
+++ b/src/kingcupusher/_gateway/rollout_traffic.py
@@ -14,6 +14,9 @@
 
 DEADLINE_REASON = "no response in time"
 """Reason of an attempt that its target did not answer before the deadline of the request."""
+MIN_CAPACITY_SHARE = 0.8
+"""The new version needs this share of the slots of the old one before it gets all requests. A few
+of its targets may be lost or late."""
 IS_FAILURE_BY_OUTCOME = {
     AttemptOutcome.SUCCESS: False,
     AttemptOutcome.FAILURE: True,
@@ -51,7 +54,8 @@
         """Return those of the usable ``targets`` that the request may go to."""
         rollout = self._catalog.rollouts.in_force(service)
         if rollout is None:
-            return targets
+            refused = self._catalog.rollouts.refused(service)
+            return [t for t in targets if t.version not in refused] if refused else targets
         current_ms = monotonic_ms()
         rule = self._rule(rollout, current_ms)
         return choose_targets(targets, rule, draw=draw, now_ms=current_ms)
@@ -100,6 +104,17 @@
             if t.record.service == rollout.service
         )
 
+    def has_capacity(self, rollout: Rollout) -> bool:
+        """Return whether the warm new targets can take the load of the old ones."""
+        current_ms = monotonic_ms()
+        old_slots = new_slots = 0
+        for target in self._catalog.usable_targets(rollout.service):
+            if target.version == rollout.target_version:
+                new_slots += target.record.slots if target.warm_at_ms <= current_ms else 0
+            elif target.version not in rollout.rejected:
+                old_slots += target.record.slots
+        return new_slots >= MIN_CAPACITY_SHARE * old_slots
+
     # -- counts
 
     def on_send(self, attempt: Attempt, *, is_first: bool) -> None:
--- a/src/kingcupusher/_gateway/rollouts.py
+++ b/src/kingcupusher/_gateway/rollouts.py
@@ -210,14 +210,15 @@
         state = self._catalog.rollouts.states.get(order.service)
         if state is None or state.order_revision != order.revision:
             versions = self._catalog.registered_versions(order.service)
-            is_done = state is not None and repeats_completed(order, state, versions)
+            earlier = self._catalog.rollouts.earlier(order.service)
+            is_done = earlier is not None and repeats_completed(order, earlier, versions)
             phase = RolloutPhase.COMPLETED if is_done else RolloutPhase.TRIAL
             begun = RolloutState(
                 service=order.service,
                 target_version=order.target_version,
                 order_revision=order.revision,
                 phase=phase,
-                rejected=tuple(v for v in rejected_before(order, state) if v in versions),
+                rejected=tuple(v for v in rejected_before(order, earlier) if v in versions),
                 revision=state.revision if state else 0,
             )
             await self._write(case, None, begun, Decision(phase, "ordered"))
@@ -244,6 +245,7 @@
             phase_age_ms=order_age_ms - state.order_age_ms,
             duration_ms=order.duration_ms,
             has_majority=2 * len(linked) >= len(known),
+            has_capacity=self._traffic.has_capacity(rollout),
             have_all_moved=all(case.has_moved.get(entry, False) for entry in linked),
             has_old=self._traffic.has_old(rollout),
             has_new=self._traffic.has_new(rollout),
--- a/src/kingcupusher/_limits/rollout_phases.py
+++ b/src/kingcupusher/_limits/rollout_phases.py
@@ -33,6 +33,7 @@
     whether a target of another version was registered since the order. ``have_all_moved`` is
     whether all linked entries reported that they send nothing to other versions any more.
     ``phase_age_ms`` counts from the write of the phase, however late this lead saw it.
+    ``has_capacity`` is whether enough new targets are warm and usable.
     """
 
     verdict: Verdict
@@ -45,6 +46,7 @@
     has_old: bool = True
     has_new: bool = True
     have_all_moved: bool = True
+    has_capacity: bool = True
 
     @property
     def latest_shift_ms(self) -> float:
@@ -92,21 +94,31 @@
 def _after_trial(evidence: Evidence) -> Decision | None:
     age_ms, latest_ms = evidence.order_age_ms, evidence.latest_shift_ms
     is_time = latest_ms - SHIFT_WINDOW_MS <= age_ms <= latest_ms
-    if evidence.verdict is Verdict.GOOD and evidence.has_majority and is_time:
+    if _may_move_all(evidence) and is_time:
         return Decision(RolloutPhase.SHIFT, "the new version is good")
     if age_ms > latest_ms:
-        return Decision(RolloutPhase.ROLLED_BACK, "the evidence is not enough")
+        return Decision(RolloutPhase.ROLLED_BACK, _missing(evidence))
     return None
 
 
+def _may_move_all(evidence: Evidence) -> bool:
+    is_good = evidence.verdict is Verdict.GOOD
+    return is_good and evidence.has_majority and evidence.has_capacity
+
+
 def _after_shift(evidence: Evidence) -> Decision | None:
     if evidence.phase_age_ms < SHIFT_MS:
         return None
     is_last_moment = evidence.order_age_ms >= evidence.duration_ms - WRITE_MARGIN_MS
-    may_complete = evidence.verdict is Verdict.GOOD and evidence.has_majority
     # A rollback would move the requests of all entries back because of one that does not report.
-    if may_complete and (evidence.have_all_moved or is_last_moment):
+    if _may_move_all(evidence) and (evidence.have_all_moved or is_last_moment):
         return Decision(RolloutPhase.COMPLETED, "the new version is good")
     if is_last_moment:
-        return Decision(RolloutPhase.ROLLED_BACK, "the evidence is not enough")
+        return Decision(RolloutPhase.ROLLED_BACK, _missing(evidence))
     return None
+
+
+def _missing(evidence: Evidence) -> str:
+    if evidence.verdict is Verdict.GOOD and not evidence.has_capacity:
+        return "too few targets of the new version are warm and usable"
+    return "the evidence is not enough"
--- a/testing/features/rollouts.feature
+++ b/testing/features/rollouts.feature
@@ -143,6 +143,42 @@
     Guards against old targets that stop before they respond to requests from before the order.
     Then an attempt to an old target that began before the order is in flight until it ends
 
+  Scenario Outline: A good version with too few targets in the <phase> at <age> s: <next>
+    Guards against requests that move to targets which cannot take them.
+    Then a good version with too few targets in the "<phase>" at <age> s is <next>
+
+    Examples: an order of 12 s whose shift began at 8.6 s
+      | phase | age  | next        |
+      | trial | 8.4  | trial       |
+      | trial | 9.2  | rolled_back |
+      | shift | 11.1 | shift       |
+      | shift | 11.6 | rolled_back |
+
+  Scenario Outline: <new> of 10 new targets that are <state>, beside 10 old ones: <result>
+    Guards against new targets that count although they get no requests.
+    Then with <new> of 10 new targets that are <state>, beside 10 old ones, there is <result>
+
+    Examples:
+      | new | state    | result      |
+      | 8   | warm     | room        |
+      | 7   | warm     | no room     |
+      | 10  | cold     | no room     |
+      | 10  | draining | no room     |
+
+  Scenario: A second order after a restored store knows the end of the first one
+    Guards against a lead that lets a rolled-back version serve as the old one.
+    Then after a restored store, lead and entries reject the version that was rolled back
+
+  Scenario Outline: An order withdrawn in the trial, with <registered> registered: <served>
+    Guards against requests on an earlier rejected version when an order is withdrawn.
+    Then after an order is withdrawn in the trial, with targets of <registered>, requests go to <served>
+
+    Examples: an order for v2 after one for v0 that was rolled back
+      | registered | served |
+      | v0 v1 v2   | v1 v2  |
+      | v0 v2      | v2     |
+      | v0         | v0     |
+
   Scenario Outline: A <verdict> version without another one, in the <phase> at <age> s: <next>
     Guards against a rollback of the version that the service runs, after which nothing serves it.
     Then a "<verdict>" version, <new>, without another one in the "<phase>" at <age> s is <next>
--- a/testing/features/steps/rollout_entry_steps.py
+++ b/testing/features/steps/rollout_entry_steps.py
@@ -187,16 +187,16 @@
     assert len(store.written) == 1, store.written
 
 
-def _begun(versions, *, target_version, earlier):
-    """Return the state that a lead writes for an order after the state ``earlier``."""
+def _begun(versions, *, target_version, seen):
+    """Return the catalog, and what its lead writes for an order after the states ``seen``."""
     catalog, store = Catalog(), _StateStore()
     changes = [versioned_target(v, v) for v in versions]
     order = msgspec.structs.replace(_order("s", 11), target_version=target_version)
-    changes += [RolloutPhaseSeen(earlier), RolloutOrdered(order)]
+    changes += [RolloutOrdered(_order("s", 7)), *map(RolloutPhaseSeen, seen), RolloutOrdered(order)]
     catalog.apply(changes, now_ms=now_ms())
     curio.run(_rollouts(catalog, store).check)
     (state,) = store.states
-    return state
+    return catalog, state
 
 
 class _StateStore:
@@ -218,14 +218,22 @@
 @then("of the rejected versions v0 and v2, a lead keeps v2 if only v1 and v2 are registered")
 def then_pruned(context):
     earlier = _ended(RolloutPhase.ROLLED_BACK, rejected=("v0",))
-    state = _begun(("v1", "v2"), target_version="v3", earlier=earlier)
+    _, state = _begun(("v1", "v2"), target_version="v3", seen=[earlier])
     assert (state.phase, state.rejected) == (RolloutPhase.TRIAL, ("v2",)), state
 
 
+@then("after a restored store, lead and entries reject the version that was rolled back")
+def then_restored_view(context):
+    seen = [_ended(RolloutPhase.ROLLED_BACK), _ended(RolloutPhase.TRIAL)]
+    catalog, state = _begun(("v1", "v2"), target_version="v3", seen=seen)
+    assert state.rejected == ("v2",), state
+    assert catalog.rollouts.in_force("s").rejected == ("v2",)
+
+
 @then('a lead writes "{phase}" for the completed version with targets of {versions}')
 def then_begun(context, phase, versions):
     earlier = _ended(RolloutPhase.COMPLETED)
-    state = _begun(versions.split(), target_version="v2", earlier=earlier)
+    _, state = _begun(versions.split(), target_version="v2", seen=[earlier])
     assert state.phase is RolloutPhase(phase), state
 
 
--- a/testing/features/steps/rollout_steps.py
+++ b/testing/features/steps/rollout_steps.py
@@ -19,6 +19,7 @@
     RolloutState,
     RolloutWithdrawn,
     StorePosition,
+    TargetGone,
     TargetSeen,
 )
 from kingcupusher._gateway.attempt import AttemptOutcome, AttemptResult
@@ -337,7 +338,7 @@
     assert (decision.phase if decision else RolloutPhase(phase)) is RolloutPhase(end), decision
 
 
-def _shift_end(began_ms, age_ms, duration_ms, *, have_all_moved=True):
+def _shift_end(began_ms, age_ms, duration_ms, *, phase="shift", **fields):
     evidence = Evidence(
         verdict=Verdict.GOOD,
         requests=1_000,
@@ -346,10 +347,10 @@
         phase_age_ms=age_ms - began_ms,
         duration_ms=duration_ms,
         has_majority=True,
-        have_all_moved=have_all_moved,
+        **fields,
     )
-    decision = decide(RolloutPhase.SHIFT, evidence)
-    return decision.phase.value if decision else "shift"
+    decision = decide(RolloutPhase(phase), evidence)
+    return decision.phase.value if decision else phase
 
 
 @then("a good version in the shift whose entries have {moved} at {age:g} s is {end}")
@@ -358,6 +359,38 @@
     assert _shift_end(8_600.0, age * 1e3, 12_000.0, have_all_moved=have_all_moved) == end
 
 
+@then('a good version with too few targets in the "{phase}" at {age:g} s is {end}')
+def then_too_few(context, phase, age, end):
+    assert _shift_end(8_600.0, age * 1e3, 12_000.0, phase=phase, has_capacity=False) == end
+
+
+@then("with {new:d} of 10 new targets that are {state}, beside 10 old ones, there is {result}")
+def then_capacity(context, new, state, result):
+    fields = {"cold": {"cold_left_ms": 60_000.0}, "draining": {"is_draining": True}}
+    seen = [versioned_target(f"old{i}", "v1") for i in range(10)]
+    for i in range(new):
+        record = versioned_target(f"new{i}", "v2").record
+        seen.append(TargetSeen(msgspec.structs.replace(record, **fields.get(state, {}))))
+    catalog = _shift_catalog(RolloutPhase.TRIAL, seen_ms=0.0)
+    catalog.apply([TargetGone("v1"), TargetGone("v2"), *seen], now_ms=now_ms())
+    traffic = RolloutTraffic(catalog, Metrics(), rng=Random(1))
+    assert traffic.has_capacity(catalog.rollouts.in_force("s")) == (result == "room")
+
+
+@then(
+    "after an order is withdrawn in the trial, with targets of {versions}, requests go to {served}"
+)
+def then_served_withdrawn(context, versions, served):
+    catalog = Catalog()
+    trial = _state(RolloutPhase.TRIAL, rejected=("v0",))
+    changes = [_decode("op/rollout/s", ORDER), RolloutPhaseSeen(trial), RolloutWithdrawn("s")]
+    changes += [versioned_target(v, v) for v in versions.split()]
+    catalog.apply(changes, now_ms=0.0)
+    traffic = RolloutTraffic(catalog, Metrics(), rng=Random(1))
+    allowed = traffic.allowed("s", catalog.usable_targets("s"), traffic.draw("s"))
+    assert sorted(t.version for t in allowed) == served.split(), allowed
+
+
 @then("for any order and any time of the shift, a good version is completed before the deadline")
 def then_ends_in_time(context):
     def prop(duration_ms, good_from_ms, offset_ms):
