Count abandoned attempts, and restore a lost end once a second

Cause: attempts that the caller gave up did not count, so that a slow version looked good to callers with short patience. A lead wrote a lost final phase at each check, since its case is dropped when the rollout has ended. A restored store with the same final phase of an earlier order was not mended. Names and comments did not say what they mean.

Change: an unanswered attempt counts with the time that it had taken, and as a failure if its deadline passed; the reason is one constant. A lost final phase is written at most once a second, and its order is compared too. has_old becomes had_old_since_order, _Case.phase written_from, _written_ms _ordered_ms.

--- a/src/kingcupusher/_discovery/rollout_states.py
+++ b/src/kingcupusher/_discovery/rollout_states.py
@@ -52,7 +52,7 @@
         "_notify",
         "_phase_seen_ms",
         "_versions",
-        "_written_ms",
+        "_ordered_ms",
         "orders",
         "states",
     )
@@ -64,7 +64,7 @@
         self._versions = versions
         self.orders: dict[str, RolloutOrder] = {}
         self.states: dict[str, RolloutState] = {}
-        self._written_ms: dict[str, float] = {}
+        self._ordered_ms: dict[str, float] = {}
         self._phase_seen_ms: dict[str, float] = {}
         self._final: dict[str, RolloutState] = {}
         self._first_phases: dict[str, bool] = {}
@@ -160,19 +160,19 @@
         lost = []
         for order in self.orders.values():
             final, state = self.final_of(order), self.states.get(order.service)
-            if final is not None and (state is None or state.phase is not final.phase):
+            if final is not None and (state is None or not _is_same_end(state, final)):
                 lost.append(final)
         return lost
 
     def order_age_ms(self, service: str, *, now_ms: float) -> float:
         """Return how long ago the order was written, at least as far as is known."""
-        return now_ms - self._written_ms[service]
+        return now_ms - self._ordered_ms[service]
 
     def raise_order_age(self, service: str, age_ms: float, *, now_ms: float) -> None:
         """Take over the age of an order that another entry has known for longer."""
-        known_ms = self._written_ms.get(service)
+        known_ms = self._ordered_ms.get(service)
         if known_ms is not None:
-            self._written_ms[service] = min(known_ms, now_ms - age_ms)
+            self._ordered_ms[service] = min(known_ms, now_ms - age_ms)
 
     def _has_ended(self, order: RolloutOrder) -> bool:
         return self.final_of(order) is not None
@@ -181,7 +181,7 @@
         if self.orders.get(order.service) == order:
             return
         self.orders[order.service] = order
-        self._written_ms[order.service] = now_ms - ASSUMED_ORDER_AGE_MS
+        self._ordered_ms[order.service] = now_ms - ASSUMED_ORDER_AGE_MS
         self._notify("rollout ordered", service=order.service, target_version=order.target_version)
         state = self.states.get(order.service)
         if state is not None and state.order_revision == order.revision:
@@ -268,3 +268,7 @@
 def _has_only(rejected: tuple[str, ...], versions: frozenset[str]) -> bool:
     """Return whether targets are registered, and all of them run ``rejected`` versions."""
     return bool(versions) and versions <= {*rejected}
+
+
+def _is_same_end(state: RolloutState, final: RolloutState) -> bool:
+    return state.phase is final.phase and state.order_revision == final.order_revision
--- a/src/kingcupusher/_gateway/attempt.py
+++ b/src/kingcupusher/_gateway/attempt.py
@@ -38,6 +38,8 @@
     ResponseKind.NOT_RUN: AttemptOutcome.NOT_RUN,
     ResponseKind.INVALID: AttemptOutcome.BROKEN,
 }
+DEADLINE_REASON = "no response in time"
+"""Reason of an attempt that its target did not answer before the deadline of the request."""
 MAX_RESPONSES_READ = 3
 """A target may send late duplicates before the response to this request."""
 METHODS_WITH_BODY = frozenset({b"POST", b"PUT", b"PATCH"})
--- a/src/kingcupusher/_gateway/exchange.py
+++ b/src/kingcupusher/_gateway/exchange.py
@@ -8,7 +8,7 @@
 
 from kingcupusher._core import now_ms
 from kingcupusher._discovery import Route, ServiceConfig
-from kingcupusher._gateway.attempt import Attempt, AttemptOutcome, AttemptResult
+from kingcupusher._gateway.attempt import DEADLINE_REASON, Attempt, AttemptOutcome, AttemptResult
 from kingcupusher._gateway.caller_response import write_error_response, write_response
 from kingcupusher._gateway.concurrent_attempts import ConcurrentAttempts
 from kingcupusher._gateway.error_responses import (
@@ -128,7 +128,7 @@
                 return ready.response
             for attempt in self._in_flight.running:
                 attempt.penalize_target()
-            self._end_attempts(AttemptOutcome.UNANSWERED, "no response in time")
+            self._end_attempts(AttemptOutcome.UNANSWERED, DEADLINE_REASON)
             if self._fallback_response is not None:
                 return self._fallback_response
             return TIMED_OUT if self._possibly_executed_by else TIMED_OUT_BEFORE_SEND
--- a/src/kingcupusher/_gateway/rollout_traffic.py
+++ b/src/kingcupusher/_gateway/rollout_traffic.py
@@ -7,13 +7,11 @@
 
 from kingcupusher._core import now_ms as monotonic_ms
 from kingcupusher._discovery import Catalog, Rollout, RolloutOrder, RolloutPhase, Target
-from kingcupusher._gateway.attempt import Attempt, AttemptOutcome, AttemptResult
+from kingcupusher._gateway.attempt import DEADLINE_REASON, Attempt, AttemptOutcome, AttemptResult
 from kingcupusher._limits.rollout_ledger import EntryCounts, RouteOutcomes
 from kingcupusher._observe.metrics_registry import Metrics, labels
 from kingcupusher._routing.version_choice import OLD_VERSION_DRAW, VersionRule, choose_targets
 
-DEADLINE_REASON = "no response in time"
-"""Reason of an attempt that its target did not answer before the deadline of the request."""
 MIN_CAPACITY_SHARE = 0.8
 """The new version needs this share of the slots of the old one before it gets all requests. A few
 of its targets may be lost or late."""
@@ -22,21 +20,23 @@
     AttemptOutcome.FAILURE: True,
     AttemptOutcome.BROKEN: True,
     AttemptOutcome.SUPERSEDED: False,
+    AttemptOutcome.UNANSWERED: False,
 }
-"""Outcomes that tell about a version. A superseded attempt would have taken longer still."""
+"""Outcomes that tell about a version. An attempt that was superseded, or that the caller gave up,
+would have taken longer still."""
 
 
 class RolloutTraffic:
     """Applies the rollouts in force to the requests of this entry, and counts their responses."""
 
-    __slots__ = ("_catalog", "_counts", "_has_old", "_in_flight", "_metrics", "_rng")
+    __slots__ = ("_catalog", "_counts", "_had_old", "_in_flight", "_metrics", "_rng")
 
     def __init__(self, catalog: Catalog, metrics: Metrics, *, rng: Random) -> None:
         self._catalog = catalog
         self._metrics = metrics
         self._rng = rng
         self._counts: dict[str, tuple[int, EntryCounts]] = {}
-        self._has_old: set[tuple[str, int]] = set()
+        self._had_old: set[tuple[str, int]] = set()
         self._in_flight: dict[int, Attempt] = {}
 
     # -- choice
@@ -75,12 +75,12 @@
             phase=rollout.phase,
             phase_age_ms=current_ms - rollout.phase_seen_ms,
             rejected=rollout.rejected,
-            has_old=self.has_old(rollout),
+            had_old_since_order=self.had_old_since_order(rollout),
             has_new=self.has_new(rollout),
             skips_ramp=rollout.is_first_phase,
         )
 
-    def has_old(self, rollout: Rollout) -> bool:
+    def had_old_since_order(self, rollout: Rollout) -> bool:
         """Return whether a target of another version was registered since the order.
 
         Targets of rejected versions count only while no other target is registered.
@@ -88,13 +88,13 @@
         if rollout.has_only_rejected:
             return True
         key = (rollout.service, rollout.order_revision)
-        if key not in self._has_old and any(
+        if key not in self._had_old and any(
             t.version not in (rollout.target_version, *rollout.rejected)
             for t in self._catalog.targets.values()
             if t.record.service == rollout.service
         ):
-            self._has_old.add(key)
-        return key in self._has_old
+            self._had_old.add(key)
+        return key in self._had_old
 
     def has_new(self, rollout: Rollout) -> bool:
         """Return whether a target of the ordered version is registered."""
--- a/src/kingcupusher/_gateway/rollouts.py
+++ b/src/kingcupusher/_gateway/rollouts.py
@@ -35,9 +35,8 @@
 REPORT_INTERVAL_S = 1.0
 CHECK_INTERVAL_S = 0.1
 MAX_CHECK_GAP_MS = 1_000.0
-"""A lead that made no check for longer was frozen, or is new. What it knows may be old. The time is
-longer than a dial to a dead reader takes, for which a lead gives up its role every 2 s until the
-lease of that reader ends."""
+"""A lead that made no check for longer was frozen, or is new. What it knows may be old. Dialling
+a dead reader takes up to 0.5 s, during which this entry does not lead."""
 NEW_LEAD_WAIT_MS = 1_500.0
 """A new lead has the reports of all entries after this time; a woken one has the changes, too."""
 MAX_RUN = 2**31
@@ -45,6 +44,8 @@
 """A written phase comes back by the store within this time."""
 RETRY_AFTER_CONFLICT_MS = 500.0
 RETRY_AFTER_FAILURE_MS = 200.0
+RESTORE_INTERVAL_MS = 1_000.0
+"""A lost final phase is written again at most this often. Entries follow it without the store."""
 
 
 class RolloutStore(Protocol):
@@ -60,13 +61,14 @@
 class _Case(Struct):
     """A rollout as its lead knows it; nothing is written before ``retry_ms``.
 
-    ``has_moved`` is, by entry, what its last report says.
+    ``has_moved`` is, by entry, what its last report says. ``written_from`` is the phase that the
+    last write was to replace.
     """
 
     order_revision: int
     ledger: RolloutLedger
     has_moved: dict[str, bool] = field(default_factory=dict)
-    phase: RolloutPhase | None = None
+    written_from: RolloutPhase | None = None
     retry_ms: float = 0.0
 
 
@@ -79,6 +81,7 @@
         "_checked_ms",
         "_link",
         "_on_event",
+        "_restore_from_ms",
         "_run_id",
         "_server",
         "_store",
@@ -107,6 +110,7 @@
         self._cases: dict[str, _Case] = {}
         self._checked_ms = 0.0
         self._wait_until_ms = 0.0
+        self._restore_from_ms: dict[str, float] = {}
         server.register(RolloutReport, self._on_report)
 
     # -- reports
@@ -247,7 +251,7 @@
             has_majority=2 * len(linked) >= len(known),
             has_capacity=self._traffic.has_capacity(rollout),
             have_all_moved=all(case.has_moved.get(entry, False) for entry in linked),
-            has_old=self._traffic.has_old(rollout),
+            had_old_since_order=self._traffic.had_old_since_order(rollout),
             has_new=self._traffic.has_new(rollout),
         )
 
@@ -258,9 +262,9 @@
         state: RolloutState,
         decision: Decision,
     ) -> None:
-        if case.phase is before and now_ms() < case.retry_ms:
+        if case.written_from is before and now_ms() < case.retry_ms:
             return
-        case.phase = before
+        case.written_from = before
         age_ms = self._catalog.rollouts.order_age_ms(state.service, now_ms=now_ms())
         result = await self._try_write(replace(state, order_age_ms=age_ms))
         case.retry_ms = now_ms() + result
@@ -285,11 +289,11 @@
         if order is None or order.revision != lost.order_revision:
             return
         present = self._catalog.rollouts.states.get(lost.service)
-        case = self._case(order)
-        if now_ms() < case.retry_ms:
+        if now_ms() < self._restore_from_ms.get(lost.service, 0.0):
             return
+        self._restore_from_ms[lost.service] = now_ms() + RESTORE_INTERVAL_MS
         state = replace(lost, revision=present.revision if present else 0)
-        case.retry_ms = now_ms() + await self._try_write(state)
+        await self._try_write(state)
         self._on_event("rollout restored", service=lost.service, phase=lost.phase.value)
 
     async def _try_write(self, state: RolloutState) -> float:
--- a/src/kingcupusher/_limits/rollout_phases.py
+++ b/src/kingcupusher/_limits/rollout_phases.py
@@ -29,11 +29,11 @@
     """What a lead knows when it decides.
 
     ``has_majority`` is whether at least half of the known entries are linked to this lead. Of two
-    leads, only one may move requests to the new version, and both may roll it back. ``has_old`` is
-    whether a target of another version was registered since the order. ``have_all_moved`` is
-    whether all linked entries reported that they send nothing to other versions any more.
-    ``phase_age_ms`` counts from the write of the phase, however late this lead saw it.
-    ``has_capacity`` is whether enough new targets are warm and usable.
+    leads, only one may move requests to the new version, and both may roll it back.
+    ``had_old_since_order`` is whether a target of another version was registered since the order.
+    ``have_all_moved`` is whether all linked entries reported that they send nothing to other
+    versions any more. ``phase_age_ms`` counts from the write of the phase, however late this lead
+    saw it. ``has_capacity`` is whether enough new targets are warm and usable.
     """
 
     verdict: Verdict
@@ -43,7 +43,7 @@
     phase_age_ms: float
     duration_ms: float
     has_majority: bool
-    has_old: bool = True
+    had_old_since_order: bool = True
     has_new: bool = True
     have_all_moved: bool = True
     has_capacity: bool = True
@@ -73,7 +73,7 @@
     """Return the next phase, or None if ``phase`` lasts."""
     if phase.is_final:
         return None
-    if not evidence.has_old:
+    if not evidence.had_old_since_order:
         return _without_old(evidence)
     if evidence.verdict is Verdict.BAD:
         return Decision(RolloutPhase.ROLLED_BACK, "the new version is bad")
--- a/src/kingcupusher/_routing/version_choice.py
+++ b/src/kingcupusher/_routing/version_choice.py
@@ -48,9 +48,10 @@
 class VersionRule(Struct, frozen=True, kw_only=True):
     """What a rollout orders for the requests of a service now.
 
-    ``phase`` is None before the trial. ``has_old`` is whether any target of another version is
-    registered, usable or not; ``has_new`` likewise. ``rejected`` versions get no requests. An entry
-    that joins in the shift skips the ramp, which the other entries began before.
+    ``phase`` is None before the trial. ``had_old_since_order`` is whether any target of another
+    version was registered since the order, usable or not; ``has_new`` is whether one of the ordered
+    version is registered now. ``rejected`` versions get no requests. An entry that joins in the
+    shift skips the ramp, which the other entries began before.
     """
 
     service: str
@@ -58,7 +59,7 @@
     phase: RolloutPhase | None
     phase_age_ms: float = 0.0
     rejected: tuple[str, ...] = ()
-    has_old: bool = True
+    had_old_since_order: bool = True
     has_new: bool = True
     skips_ramp: bool = False
 
@@ -85,8 +86,8 @@
         return old
     if rule.phase is RolloutPhase.COMPLETED:
         return new if rule.has_new else old
-    if not rule.has_old:
-        # The service ran on the ordered version before the order, so there is nothing to try out.
+    if not rule.had_old_since_order:
+        # No other version was registered since the order, so there is nothing to compare with.
         return new
     share = rule.new_share()
     if draw >= share and share < 1.0:
--- a/testing/features/rollouts.feature
+++ b/testing/features/rollouts.feature
@@ -179,6 +179,26 @@
       | v0 v2      | v2     |
       | v0         | v0     |
 
+  Scenario Outline: An attempt that ends as <outcome> with "<reason>" counts as <counted>
+    Guards against slow versions whose callers give up before their responses count.
+    Then an attempt of 8 s that ends as <outcome> with "<reason>" counts as <counted>
+
+    Examples:
+      | outcome    | reason                          | counted     |
+      | success    | none                            | slow        |
+      | unanswered | no response in time             | failed      |
+      | unanswered | the caller closed its connection | slow       |
+      | superseded | another target answered first   | slow        |
+      | not-run    | none                            | nothing     |
+
+  Scenario: A lost final phase is written again once a second
+    Guards against a write by every check for as long as the store does not take it.
+    Then a lead that checks 20 times in 2 s writes a lost final phase 2 times
+
+  Scenario: The final phase of another order in a restored store counts as lost
+    Guards against a store that names the end of an earlier order for good.
+    Then a final phase is lost if the store has the same phase of an earlier order
+
   Scenario Outline: A <verdict> version without another one, in the <phase> at <age> s: <next>
     Guards against a rollback of the version that the service runs, after which nothing serves it.
     Then a "<verdict>" version, <new>, without another one in the "<phase>" at <age> s is <next>
--- a/testing/features/steps/rollout_entry_steps.py
+++ b/testing/features/steps/rollout_entry_steps.py
@@ -269,6 +269,23 @@
     assert phases == ([] if written == "nothing" else [written]), phases
 
 
+@then("a lead that checks 20 times in 2 s writes a lost final phase 2 times")
+def then_restored_slowly(context):
+    catalog, store = Catalog(), _RecordingStore()
+    rollouts = _rollouts(catalog, store)
+    ended = _ended(RolloutPhase.ROLLED_BACK)
+    seen = [RolloutOrdered(_order("s", 7)), RolloutPhaseSeen(ended), RolloutPhaseGone("s")]
+    catalog.apply(seen, now_ms=now_ms())
+
+    async def main():
+        for _ in range(20):
+            await rollouts.check()
+            await curio.sleep(0.098)
+
+    curio.run(main)
+    assert len(store.phases) == 2, store.phases
+
+
 # -- the model of a fleet
 
 
--- a/testing/features/steps/rollout_steps.py
+++ b/testing/features/steps/rollout_steps.py
@@ -26,7 +26,13 @@
 from kingcupusher._gateway.rollout_traffic import RolloutTraffic
 from kingcupusher._http.simple_client import Response
 from kingcupusher._http.simple_server import serve
-from kingcupusher._limits.rollout_ledger import EntryCounts, Outcomes, RolloutLedger, RouteOutcomes
+from kingcupusher._limits.rollout_ledger import (
+    EntryCounts,
+    Outcomes,
+    RolloutLedger,
+    RouteOutcomes,
+    latency_bucket,
+)
 from kingcupusher._limits.rollout_phases import Evidence, decide
 from kingcupusher._limits.rollout_verdict import Verdict, VersionCounts, judge
 from kingcupusher._observe.metrics_registry import Metrics
@@ -185,13 +191,13 @@
 
 @then("without registered old targets, all requests may")
 def then_only_new(context):
-    rule = _rule(RolloutPhase.TRIAL, has_old=False)
+    rule = _rule(RolloutPhase.TRIAL, had_old_since_order=False)
     assert len(choose_targets(_machines("v2", 9), rule, draw=0.9, now_ms=0.0)) == 9
 
 
 @then("after a rollback, none may")
 def then_none(context):
-    rule = _rule(RolloutPhase.ROLLED_BACK, has_old=False)
+    rule = _rule(RolloutPhase.ROLLED_BACK, had_old_since_order=False)
     assert not choose_targets(_machines("v2", 9), rule, draw=0.0, now_ms=0.0)
 
 
@@ -258,7 +264,9 @@
         seen = RolloutPhaseSeen(_state(RolloutPhase.TRIAL, rejected=rejected))
         catalog.apply([_decode("op/rollout/s", ORDER), seen], now_ms=NOW_MS)
         rollout = catalog.rollouts.in_force("s")
-        assert not RolloutTraffic(catalog, Metrics(), rng=None).has_old(rollout), rejected
+        assert not RolloutTraffic(catalog, Metrics(), rng=None).had_old_since_order(
+            rollout
+        ), rejected
 
 
 # -- verdicts
@@ -391,6 +399,34 @@
     assert sorted(t.version for t in allowed) == served.split(), allowed
 
 
+@then('an attempt of 8 s that ends as {outcome} with "{reason}" counts as {counted}')
+def then_counted(context, outcome, reason, counted):
+    catalog = _shift_catalog(RolloutPhase.TRIAL, seen_ms=0.0)
+    traffic = RolloutTraffic(catalog, Metrics(), rng=Random(1))
+    probed = SimpleNamespace(target=catalog.targets["v2"])
+    attempt = SimpleNamespace(probed=probed, sent_ms=0.0, ended_ms=8_000.0)
+    traffic.on_result("a", AttemptResult(attempt, AttemptOutcome(outcome), reason=reason))
+    routes = traffic.counts_since(catalog.rollouts.orders["s"]).routes
+    expected = {
+        "slow": Outcomes(0, {latency_bucket(8_000.0): 1}),
+        "failed": Outcomes(1),
+        "nothing": None,
+    }[counted]
+    assert (routes["a"].new if routes else None) == expected, routes
+
+
+@then("a final phase is lost if the store has the same phase of an earlier order")
+def then_lost_end(context):
+    catalog = Catalog()
+    earlier = _state(RolloutPhase.COMPLETED)
+    last = msgspec.structs.replace(earlier, order_revision=11)
+    changes = [_decode("op/rollout/s", ORDER, revision=11), RolloutPhaseSeen(last)]
+    catalog.apply(changes, now_ms=NOW_MS)
+    assert not catalog.rollouts.lost_finals()
+    catalog.apply([RolloutPhaseSeen(earlier)], now_ms=NOW_MS)
+    assert catalog.rollouts.lost_finals() == [last]
+
+
 @then("for any order and any time of the shift, a good version is completed before the deadline")
 def then_ends_in_time(context):
     def prop(duration_ms, good_from_ms, offset_ms):
@@ -482,7 +518,7 @@
         phase_age_ms=age_s * 1_000.0,
         duration_ms=duration_s * 1_000.0,
         has_majority=True,
-        has_old=False,
+        had_old_since_order=False,
         has_new=has_new,
     )
     decision = decide(RolloutPhase(phase), evidence)
