Answer calls that arrive together with a lead hello

Cause: the relay server took the first message of a link and dropped the others of the same read. The first ping of a lead link was lost that way, and the entry avoided a working lead for 7 s. After the loss of a lead, entries then split over two leads, neither of which could shift a good version.

Change: the messages received with the hello are passed on to the lead server.

Result: "A call that arrives together with the hello is answered" passes, and ends with an error without the change to src/.

--- a/src/kingcupusher/_relay/lead_server.py
+++ b/src/kingcupusher/_relay/lead_server.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import curio
 from msgspec import Struct
@@ -53,15 +53,20 @@
         handler = self._handlers.get(type(message))
         return None if handler is None else handler(entry, message)
 
-    async def serve(self, connection: Connection, entry: str) -> None:
-        """Answer the calls on one link until it ends or is silent for too long."""
+    async def serve(
+        self, connection: Connection, entry: str, *, received: Sequence[bytes] = ()
+    ) -> None:
+        """Answer the calls on one link until it ends or is silent for too long.
+
+        ``received`` are the calls that arrived together with the hello.
+        """
         self.link(entry)
         try:
             while True:
-                async with curio.timeout_after(MAX_SILENCE_S):
-                    received = await connection.receive()
                 for data in received:
                     await self._answer(connection, entry, decode(data))
+                async with curio.timeout_after(MAX_SILENCE_S):
+                    received = await connection.receive()
         except LinkClosedError:
             return
         finally:
--- a/src/kingcupusher/_relay/server.py
+++ b/src/kingcupusher/_relay/server.py
@@ -93,21 +93,25 @@
             async with curio.timeout_after(HANDSHAKE_TIMEOUT_S):
                 own = PeerIdentity(0, 0)
                 connection = await accept(sock, own=own, counters=self.counters)
-                first = await self._receive_first(connection)
+                first, received = await self._receive_first(connection)
             if isinstance(first, LeadHello):
-                await self._lead_server.serve(connection, first.entry)
+                await self._lead_server.serve(connection, first.entry, received=received)
             else:
                 await self._serve(connection, _Subscriber(first))
         except (HandshakeError, LinkClosedError, MessageError, curio.TaskTimeout, OSError):
             return
 
-    async def _receive_first(self, connection: Connection) -> Subscribe | LeadHello:
-        while True:
-            for data in await connection.receive():
-                message = decode_message(data)
-                if isinstance(message, Subscribe | LeadHello):
-                    return message
-                raise MessageError("the first message must be a subscription or a lead hello")
+    async def _receive_first(
+        self, connection: Connection
+    ) -> tuple[Subscribe | LeadHello, list[bytes]]:
+        """Return the first message, and those that were received with it."""
+        received: list[bytes] = []
+        while not received:
+            received = await connection.receive()
+        message = decode_message(received[0])
+        if isinstance(message, Subscribe | LeadHello):
+            return message, received[1:]
+        raise MessageError("the first message must be a subscription or a lead hello")
 
     async def _serve(self, connection: Connection, subscriber: _Subscriber) -> None:
         if not self._subscribers:
--- a/testing/features/lead_link.feature
+++ b/testing/features/lead_link.feature
@@ -23,3 +23,7 @@
     Given readers in the slots 0, 1 and 2, and an entry without a slot
     When nothing needs a lead
     Then no reader gets a connection
+
+  Scenario: A call that arrives together with the hello is answered
+    Guards against a first ping that is lost, after which entries avoid a lead that works.
+    Then a ping that is sent right after the hello is answered
--- a/testing/features/steps/lead_link_steps.py
+++ b/testing/features/steps/lead_link_steps.py
@@ -9,8 +9,16 @@
 from kingcupusher._core.connection_server import serve_connections
 from kingcupusher._core.startup import listen
 from kingcupusher._discovery import Catalog, ReaderSeen, StoreFollower
+from kingcupusher._peers.connection import ByteCounters, PeerIdentity, dial
 from kingcupusher._relay import LeadLink, LeadServer, LeadUnavailableError, RelayServer
-from kingcupusher._relay.messages import LeadPing
+from kingcupusher._relay.messages import (
+    LeadCall,
+    LeadHello,
+    LeadPing,
+    LeadReply,
+    decode,
+    encode,
+)
 from standins.ports import free_address
 from testing.gateway.store import FakeStore
 
@@ -194,3 +202,24 @@
         raise AssertionError("a call without a link was answered")
 
     _run(context, check, is_needed=False)
+
+
+@then("a ping that is sent right after the hello is answered")
+def then_early_call(context):
+    async def main():
+        reader = Reader("r0")
+        await reader.start()
+        await curio.sleep(POLL_S)
+        async with curio.timeout_after(WITHIN_S):
+            own = PeerIdentity(0, 0)
+            link = await dial(reader.address, own=own, seat=0, counters=ByteCounters())
+            for message in (LeadHello("e1"), LeadCall(1, LeadPing())):
+                await link.send(encode(message))
+            replies = []
+            while not replies:
+                replies = await link.receive()
+        assert decode(replies[0]) == LeadReply(1, LeadPing()), replies
+        await link.close()
+        await reader.stop()
+
+    curio.run(main)
