--- a/src/kingcupusher/_discovery/catalog.py
+++ b/src/kingcupusher/_discovery/catalog.py
@@ -53,7 +53,7 @@
         "listeners",
         "live_entries",
         "readers",
-        "rollouts",
+        "rollout_states",
         "route_table",
         "targets",
         "zones_out",
@@ -70,7 +70,7 @@
         self.live_entries = LiveEntries()
         self.announcements = TargetAnnouncements(Random())
         self.crashes = CrashQuarantine()
-        self.rollouts = RolloutStates(self._notify_listeners)
+        self.rollout_states = RolloutStates(self._notify_listeners, self.registered_versions)
         self._grace_end_ms = 0.0
         self._round_robins: dict[tuple[str, tuple[object, ...]], WeightedRoundRobin] = {}
 
@@ -93,7 +93,7 @@
         missing: list[Change] = [TargetGone(i) for i in self.targets if i not in seen]
         missing += [ZoneReturned(zone) for zone in self.zones_out if zone not in out]
         missing += [ReaderGone(slot) for slot in self.readers if slot not in slots]
-        missing += self.rollouts.missing_from(changes)
+        missing += self.rollout_states.missing_from(changes)
         self.apply(missing + changes, now_ms=now_ms)
 
     def remove_lapsed_targets(self, *, now_ms: float) -> None:
@@ -135,6 +135,12 @@
             round_robin = self._round_robins[key] = WeightedRoundRobin(route.parts)
         return self.route_table.services.get(round_robin.next_service())
 
+    def registered_versions(self, service: str) -> frozenset[str]:
+        """Return the versions that the registered targets of ``service`` run, usable or not."""
+        return frozenset(
+            target.version for target in self.targets.values() if target.record.service == service
+        )
+
     def usable_targets(self, service: str) -> list[Target]:
         """Return the targets of ``service`` that neither leave nor are in a zone taken out."""
         return [
@@ -155,7 +161,7 @@
         changes += [TargetSeen(target.record) for target in self.targets.values()]
         changes += [ZoneTakenOut(zone) for zone in sorted(self.zones_out)]
         changes += [CrashSeen(fingerprint, t) for fingerprint, t in self.crashes.snapshot()]
-        return changes + self.rollouts.snapshot() + list(self.readers.values())
+        return changes + self.rollout_states.snapshot() + list(self.readers.values())
 
     # -- details
 
@@ -281,7 +287,7 @@
     @_CHANGE_HANDLERS.register("RolloutPhaseSeen")
     @_CHANGE_HANDLERS.register("RolloutPhaseGone")
     def _on_rollout(self, change: Change, now_ms: float) -> None:
-        self.rollouts.apply(change, now_ms=now_ms)
+        self.rollout_states.apply(change, now_ms=now_ms)
 
     @_CHANGE_HANDLERS.register("StoreReturned")
     def _on_store_return(self, change: Change, now_ms: float) -> None:  # noqa: ARG002
--- a/src/kingcupusher/_gateway/exchange.py
+++ b/src/kingcupusher/_gateway/exchange.py
@@ -8,7 +8,7 @@
 
 from kingcupusher._core import now_ms
 from kingcupusher._discovery import Route, ServiceConfig
-from kingcupusher._gateway.attempt import Attempt, AttemptOutcome, AttemptResult
+from kingcupusher._gateway.attempt import DEADLINE_REASON, Attempt, AttemptOutcome, AttemptResult
 from kingcupusher._gateway.caller_response import write_error_response, write_response
 from kingcupusher._gateway.concurrent_attempts import ConcurrentAttempts
 from kingcupusher._gateway.error_responses import (
@@ -91,6 +91,7 @@
                 self._token.give_back()
             for attempt in self._attempts:
                 attempt.share.release()
+                self._gateway.rollout_traffic.on_end(attempt)
 
     async def _run(self) -> None:
         try:
@@ -131,7 +132,7 @@
                 return ready.response
             for attempt in self._in_flight.running:
                 attempt.penalize_target()
-            self._end_attempts(AttemptOutcome.UNANSWERED, "no response in time")
+            self._end_attempts(AttemptOutcome.UNANSWERED, DEADLINE_REASON)
             if self._fallback_response is not None:
                 return self._fallback_response
             return TIMED_OUT if self._possibly_executed_by else TIMED_OUT_BEFORE_SEND
@@ -230,7 +231,7 @@
         self._search.exclude(target_id)
         self._possibly_executed_by.add(target_id)
         self._attempts.append(attempt)
-        self._gateway.rollouts.on_send(attempt, is_first=len(self._attempts) == 1)
+        self._gateway.rollout_traffic.on_send(attempt, is_first=len(self._attempts) == 1)
         await self._in_flight.start(attempt, deadline_ms=self._deadline_ms)
         return attempt
 
@@ -249,7 +250,7 @@
             self._possibly_executed_by.discard(result.attempt.probed.target.target_id)
         elif result.outcome is AttemptOutcome.FAILURE:
             self._fallback_response = result.response
-        self._gateway.rollouts.on_result(self._route.name, result)
+        self._gateway.rollout_traffic.on_result(self._route.name, result)
         self._log.record_attempt(result)
 
     def _has_attempts_left(self) -> bool:
@@ -302,7 +303,7 @@
         for attempt in abandoned:
             attempt.ended_ms = now_ms()
             result = AttemptResult(attempt, outcome, reason=reason)
-            self._gateway.rollouts.on_result(self._route.name if self._route else "", result)
+            self._gateway.rollout_traffic.on_result(self._route.name if self._route else "", result)
             self._log.record_attempt(result)
 
     def _log_end(self, status: int, outcome: str) -> None:
--- a/src/kingcupusher/_gateway/explanation.py
+++ b/src/kingcupusher/_gateway/explanation.py
@@ -187,7 +187,7 @@
     client = gateway.target_clients.get(target)
     if gateway.selector.quotas.is_exhausted(client):
         return "it is paused, or this entry's share of its request rate is used up"
-    if not gateway.rollouts.allowed(target.record.service, [target], OLD_VERSION_DRAW):
+    if not gateway.rollout_traffic.allowed(target.record.service, [target], OLD_VERSION_DRAW):
         return "a rollout keeps requests from its version"
     return "it has no recent reading, and the limit on probes allows none now"
 
--- a/src/kingcupusher/_gateway/process.py
+++ b/src/kingcupusher/_gateway/process.py
@@ -17,7 +17,7 @@
 from kingcupusher._gateway.exchange import Exchange
 from kingcupusher._gateway.header_codec import HeaderCodec
 from kingcupusher._gateway.platform_store import PlatformStore
-from kingcupusher._gateway.rollouts import Rollouts
+from kingcupusher._gateway.rollouts import RolloutControl
 from kingcupusher._gateway.settings import GatewaySettings
 from kingcupusher._gateway.state import GatewayState
 from kingcupusher._gateway.status_pages import StatusPages
@@ -84,7 +84,7 @@
         "_reader_slot",
         "_relay",
         "_reload_settings",
-        "_rollouts",
+        "_rollout_control",
         "_status_pages",
         "_store",
         "_subscriptions",
@@ -131,9 +131,9 @@
             is_needed=self._is_lead_needed,
             on_event=self._gateway.on_event,
         )
-        self._rollouts = Rollouts(
+        self._rollout_control = RolloutControl(
             catalog,
-            self._gateway.rollouts,
+            self._gateway.rollout_traffic,
             self._lead_link,
             self._lead_server,
             store,
@@ -203,8 +203,8 @@
             self._status_pages.run_metrics_server,
             self._run_maintenance,
             self._gateway.crash_reports.run,
-            self._rollouts.run_reports,
-            self._rollouts.run_lead,
+            self._rollout_control.run_reports,
+            self._rollout_control.run_lead,
             self._reload_on_sighup,
         ):
             await curio.spawn(self._run_supervised, task, daemon=True)
@@ -256,14 +256,14 @@
 
     def _is_lead_needed(self) -> bool:
         """Return whether a quota or a rollout is decided for the whole fleet now."""
-        return self._customer_quotas.is_needed or self._gateway.catalog.rollouts.needs_lead
+        return self._customer_quotas.is_needed or self._gateway.catalog.rollout_states.needs_lead
 
     def _gauges(self) -> dict[tuple[str, Labels], float]:
         current_ms = now_ms()
         position = self._follower.position or NO_POSITION
         return (
             self._gateway.gauges(now_ms=current_ms)
-            | self._rollouts.gauges()
+            | self._rollout_control.gauges()
             | self._customer_quotas.gauges(now_ms=current_ms)
             | {
                 ("news_age_ms", ()): current_ms - self._follower.confirmed_ms,
--- a/src/kingcupusher/_gateway/rollouts.py
+++ b/src/kingcupusher/_gateway/rollouts.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 import curio
-from msgspec import Struct
+from msgspec import Struct, field
 from msgspec.structs import replace
 
 from kingcupusher._core import now_ms
@@ -35,9 +35,8 @@
 REPORT_INTERVAL_S = 1.0
 CHECK_INTERVAL_S = 0.1
 MAX_CHECK_GAP_MS = 1_000.0
-"""A lead that made no check for longer was frozen, or is new. What it knows may be old. The time is
-longer than a dial to a dead reader takes, for which a lead gives up its role every 2 s until the
-lease of that reader ends."""
+"""A lead that made no check for longer was frozen, or is new. What it knows may be old. Dialling
+a dead reader takes up to 0.5 s, during which this entry does not lead."""
 NEW_LEAD_WAIT_MS = 1_500.0
 """A new lead has the reports of all entries after this time; a woken one has the changes, too."""
 MAX_RUN = 2**31
@@ -45,6 +44,8 @@
 """A written phase comes back by the store within this time."""
 RETRY_AFTER_CONFLICT_MS = 500.0
 RETRY_AFTER_FAILURE_MS = 200.0
+RESTORE_INTERVAL_MS = 1_000.0
+"""A lost final phase is written again at most this often. Entries follow it without the store."""
 
 
 class RolloutStore(Protocol):
@@ -58,15 +59,20 @@
 
 
 class _Case(Struct):
-    """A rollout as its lead knows it; nothing is written before ``retry_ms``."""
+    """A rollout as its lead knows it; nothing is written before ``retry_ms``.
+
+    ``has_moved`` is, by entry, what its last report says. ``written_from`` is the phase that the
+    last write was to replace.
+    """
 
     order_revision: int
     ledger: RolloutLedger
-    phase: RolloutPhase | None = None
+    has_moved: dict[str, bool] = field(default_factory=dict)
+    written_from: RolloutPhase | None = None
     retry_ms: float = 0.0
 
 
-class Rollouts:
+class RolloutControl:
     """Reports to the lead, and decides while this entry is its own lead."""
 
     __slots__ = (
@@ -75,6 +81,7 @@
         "_checked_ms",
         "_link",
         "_on_event",
+        "_restore_from_ms",
         "_run_id",
         "_server",
         "_store",
@@ -103,6 +110,7 @@
         self._cases: dict[str, _Case] = {}
         self._checked_ms = 0.0
         self._wait_until_ms = 0.0
+        self._restore_from_ms: dict[str, float] = {}
         server.register(RolloutReport, self._on_report)
 
     # -- reports
@@ -115,13 +123,21 @@
 
     async def report(self) -> None:
         """Send one report on each rollout in progress; the next makes up for a lost one."""
-        rollouts = self._catalog.rollouts
+        rollouts = self._catalog.rollout_states
         for order in rollouts.active_orders():
+            if not self._is_current(order):
+                continue
             age_ms = rollouts.order_age_ms(order.service, now_ms=now_ms())
             # The lead keeps its own report, which must not change with the counts.
             counts = self._traffic.counts_since(order).copy()
             message = RolloutReport(
-                order.service, order.revision, round(age_ms), self._run_id, counts
+                order.service,
+                order.revision,
+                round(age_ms),
+                self._run_id,
+                counts,
+                self._traffic.followed_phase(order.service),
+                self._traffic.old_in_flight(order),
             )
             try:
                 await self._link.tell(message)
@@ -143,18 +159,19 @@
             return
         if current_ms - self._checked_ms > MAX_CHECK_GAP_MS:
             self._wait_until_ms = current_ms + NEW_LEAD_WAIT_MS
-        orders = self._catalog.rollouts.active_orders()
+        orders = self._catalog.rollout_states.active_orders()
         self._drop_ended(orders)
         for order in orders:
-            await self._check_order(order)
-        for lost in self._catalog.rollouts.lost_finals():
+            if self._is_current(order):
+                await self._check_order(order)
+        for lost in self._catalog.rollout_states.lost_finals():
             await self._restore_final(lost)
         # Writes take time of their own, which is not a gap between checks.
         self._checked_ms = now_ms()
 
     def gauges(self) -> dict[tuple[str, Labels], float]:
         """Return the phase of each rollout that is known."""
-        rollouts = self._catalog.rollouts
+        rollouts = self._catalog.rollout_states
         values: dict[tuple[str, Labels], float] = {}
         for service in {*rollouts.orders, *rollouts.states}:
             rollout = rollouts.in_force(service)
@@ -163,6 +180,10 @@
                 values["rollouts", labels(service=service, phase=phase)] = 1.0
         return values
 
+    def _is_current(self, order: RolloutOrder) -> bool:
+        """Return whether ``order`` is still the one known, which may change at each await."""
+        return self._catalog.rollout_states.orders.get(order.service) == order
+
     def _drop_ended(self, orders: list[RolloutOrder]) -> None:
         revisions = {order.service: order.revision for order in orders}
         for service, case in list(self._cases.items()):
@@ -171,11 +192,13 @@
 
     def _on_report(self, entry: str, message: Struct) -> None:
         assert isinstance(message, RolloutReport)
-        order = self._catalog.rollouts.orders.get(message.service)
+        order = self._catalog.rollout_states.orders.get(message.service)
         if order is None or order.revision != message.order_revision:
             return
-        self._case(order).ledger.add(entry, message.run, message.counts)
-        self._catalog.rollouts.raise_order_age(
+        case = self._case(order)
+        case.ledger.add(entry, message.run, message.counts)
+        case.has_moved[entry] = message.has_moved
+        self._catalog.rollout_states.raise_order_age(
             order.service, float(message.order_age_ms), now_ms=now_ms()
         )
 
@@ -188,41 +211,47 @@
     async def _check_order(self, order: RolloutOrder) -> None:
         case = self._case(order)
         case.ledger.remember(now_ms=now_ms())
-        state = self._catalog.rollouts.states.get(order.service)
+        state = self._catalog.rollout_states.states.get(order.service)
         if state is None or state.order_revision != order.revision:
-            is_done = state is not None and repeats_completed(order, state)
+            versions = self._catalog.registered_versions(order.service)
+            earlier = self._catalog.rollout_states.earlier(order.service)
+            is_done = earlier is not None and repeats_completed(order, earlier, versions)
             phase = RolloutPhase.COMPLETED if is_done else RolloutPhase.TRIAL
             begun = RolloutState(
                 service=order.service,
                 target_version=order.target_version,
                 order_revision=order.revision,
                 phase=phase,
-                rejected=rejected_before(order, state),
+                rejected=tuple(v for v in rejected_before(order, earlier) if v in versions),
                 revision=state.revision if state else 0,
             )
             await self._write(case, None, begun, Decision(phase, "ordered"))
             return
         if now_ms() < self._wait_until_ms:
             return
-        decision = decide(state.phase, self._evidence(order, case))
+        decision = decide(state.phase, self._evidence(order, case, state))
         if decision is not None:
             await self._write(case, state.phase, replace(state, phase=decision.phase), decision)
 
-    def _evidence(self, order: RolloutOrder, case: _Case) -> Evidence:
+    def _evidence(self, order: RolloutOrder, case: _Case, state: RolloutState) -> Evidence:
         current_ms = now_ms()
-        rollouts = self._catalog.rollouts
+        rollouts = self._catalog.rollout_states
         rollout = rollouts.in_force(order.service)
         assert rollout is not None
+        order_age_ms = rollouts.order_age_ms(order.service, now_ms=current_ms)
+        linked = self._server.linked_entries
         known = self._catalog.live_entries.names(now_ms=current_ms)
         return Evidence(
             verdict=case.ledger.verdict(now_ms=current_ms),
             requests=case.ledger.requests,
             exposed=case.ledger.exposed,
-            order_age_ms=rollouts.order_age_ms(order.service, now_ms=current_ms),
-            phase_age_ms=current_ms - rollout.phase_seen_ms,
+            order_age_ms=order_age_ms,
+            phase_age_ms=order_age_ms - state.order_age_ms,
             duration_ms=order.duration_ms,
-            has_majority=2 * len(self._server.linked_entries) >= len(known),
-            has_old=self._traffic.has_old(rollout),
+            has_majority=2 * len(linked) >= len(known),
+            has_capacity=self._traffic.has_capacity(rollout),
+            have_all_moved=all(case.has_moved.get(entry, False) for entry in linked),
+            had_old_since_order=self._traffic.had_old_since_order(rollout),
             has_new=self._traffic.has_new(rollout),
         )
 
@@ -233,10 +262,10 @@
         state: RolloutState,
         decision: Decision,
     ) -> None:
-        if case.phase is before and now_ms() < case.retry_ms:
+        if case.written_from is before and now_ms() < case.retry_ms:
             return
-        case.phase = before
-        age_ms = self._catalog.rollouts.order_age_ms(state.service, now_ms=now_ms())
+        case.written_from = before
+        age_ms = self._catalog.rollout_states.order_age_ms(state.service, now_ms=now_ms())
         result = await self._try_write(replace(state, order_age_ms=age_ms))
         case.retry_ms = now_ms() + result
         old, new = case.ledger.counts()
@@ -256,13 +285,15 @@
 
     async def _restore_final(self, lost: RolloutState) -> None:
         """Write a final phase again that a restored store does not have."""
-        present = self._catalog.rollouts.states.get(lost.service)
-        order = self._catalog.rollouts.orders[lost.service]
-        case = self._case(order)
-        if now_ms() < case.retry_ms:
+        order = self._catalog.rollout_states.orders.get(lost.service)
+        if order is None or order.revision != lost.order_revision:
+            return
+        present = self._catalog.rollout_states.states.get(lost.service)
+        if now_ms() < self._restore_from_ms.get(lost.service, 0.0):
             return
+        self._restore_from_ms[lost.service] = now_ms() + RESTORE_INTERVAL_MS
         state = replace(lost, revision=present.revision if present else 0)
-        case.retry_ms = now_ms() + await self._try_write(state)
+        await self._try_write(state)
         self._on_event("rollout restored", service=lost.service, phase=lost.phase.value)
 
     async def _try_write(self, state: RolloutState) -> float:
--- a/src/kingcupusher/_gateway/selector.py
+++ b/src/kingcupusher/_gateway/selector.py
@@ -65,7 +65,7 @@
         "_entry",
         "_prober",
         "_rng",
-        "_rollouts",
+        "_rollout_traffic",
         "_zone",
         "quotas",
     )
@@ -79,7 +79,7 @@
         entry: str,
         zone: str,
         fleet_limits: FleetLimits,
-        rollouts: RolloutTraffic,
+        rollout_traffic: RolloutTraffic,
         rng: Random,
     ) -> None:
         self._catalog = catalog
@@ -88,7 +88,7 @@
         self._entry = entry
         self._zone = zone
         self._rng = rng
-        self._rollouts = rollouts
+        self._rollout_traffic = rollout_traffic
         self._allowance = ProbeAllowance(
             probes_per_s=fleet_limits.probes_per_s, near_count=2 * NEAR_COUNT
         )
@@ -196,7 +196,7 @@
         )
         connections = self._connections_per_target(service, entries)
         candidates = []
-        for target in self._rollouts.allowed(service.name, targets, draw):
+        for target in self._rollout_traffic.allowed(service.name, targets, draw):
             if target.target_id in exclude:
                 continue
             client = self._clients.get(target)
--- a/src/kingcupusher/_gateway/state.py
+++ b/src/kingcupusher/_gateway/state.py
@@ -40,7 +40,7 @@
         "customer_quotas",
         "drain",
         "hedge_state",
-        "rollouts",
+        "rollout_traffic",
         "response_budget",
         "catalog",
         "header_codec",
@@ -77,7 +77,7 @@
             on_refused=self._on_refused,
         )
         self.prober = LoadProber(self.target_clients, header_codec, budget=self.response_budget)
-        self.rollouts = RolloutTraffic(catalog, self.metrics, rng=Random())
+        self.rollout_traffic = RolloutTraffic(catalog, self.metrics, rng=Random())
         self.selector = TargetSelector(
             catalog,
             self.target_clients,
@@ -85,7 +85,7 @@
             entry=settings.entry,
             zone=settings.zone,
             fleet_limits=settings.fleet_limits,
-            rollouts=self.rollouts,
+            rollout_traffic=self.rollout_traffic,
             rng=Random(),
         )
         self._retry_budgets: dict[str, WindowedRetryBudget] = {}
--- a/src/kingcupusher/_gateway/target_search.py
+++ b/src/kingcupusher/_gateway/target_search.py
@@ -69,7 +69,7 @@
         self._priority = priority
         self._received_ms = received_ms
         self._deadline_ms = deadline_ms
-        self._draw = gateway.rollouts.draw(service.name)
+        self._draw = gateway.rollout_traffic.draw(service.name)
         self._tried_targets: set[str] = set()
         self.refusal: ErrorResponse = NO_TARGET
 
--- a/src/kingcupusher/_relay/lead_server.py
+++ b/src/kingcupusher/_relay/lead_server.py
@@ -58,7 +58,7 @@
     ) -> None:
         """Answer the calls on one link until it ends or is silent for too long.
 
-        ``received`` are calls that came together with the first message of the link.
+        ``received`` are the calls that arrived together with the hello.
         """
         self.link(entry)
         try:
--- a/src/kingcupusher/_relay/server.py
+++ b/src/kingcupusher/_relay/server.py
@@ -96,9 +96,9 @@
             async with curio.timeout_after(HANDSHAKE_TIMEOUT_S):
                 own = PeerIdentity(0, 0)
                 connection = await accept(sock, own=own, counters=self.counters)
-                first, rest = await self._receive_first(connection)
+                first, received = await self._receive_first(connection)
             if isinstance(first, LeadHello):
-                await self._lead_server.serve(connection, first.entry, received=rest)
+                await self._lead_server.serve(connection, first.entry, received=received)
             else:
                 await self._serve(connection, _Subscriber(first))
         except (HandshakeError, LinkClosedError, MessageError, curio.TaskTimeout, OSError):
@@ -107,15 +107,14 @@
     async def _receive_first(
         self, connection: Connection
     ) -> tuple[Subscribe | LeadHello, list[bytes]]:
-        """Return the first message, and those that came together with it."""
-        while True:
+        """Return the first message, and those that were received with it."""
+        received: list[bytes] = []
+        while not received:
             received = await connection.receive()
-            if not received:
-                continue
-            message = decode_message(received[0])
-            if isinstance(message, Subscribe | LeadHello):
-                return message, received[1:]
-            raise MessageError("the first message must be a subscription or a lead hello")
+        message = decode_message(received[0])
+        if isinstance(message, Subscribe | LeadHello):
+            return message, received[1:]
+        raise MessageError("the first message must be a subscription or a lead hello")
 
     async def _serve(self, connection: Connection, subscriber: _Subscriber) -> None:
         if not self._subscribers:
--- a/src/kingcupusher/_routing/version_choice.py
+++ b/src/kingcupusher/_routing/version_choice.py
@@ -48,8 +48,10 @@
 class VersionRule(Struct, frozen=True, kw_only=True):
     """What a rollout orders for the requests of a service now.
 
-    ``phase`` is None before the trial. ``has_old`` is whether any target of another version is
-    registered, usable or not; ``has_new`` likewise. ``rejected`` versions get no requests.
+    ``phase`` is None before the trial. ``had_old_since_order`` is whether any target of another
+    version was registered since the order, usable or not; ``has_new`` is whether one of the ordered
+    version is registered now. ``rejected`` versions get no requests. An entry that joins in the
+    shift skips the ramp, which the other entries began before.
     """
 
     service: str
@@ -57,14 +59,17 @@
     phase: RolloutPhase | None
     phase_age_ms: float = 0.0
     rejected: tuple[str, ...] = ()
-    has_old: bool = True
+    had_old_since_order: bool = True
     has_new: bool = True
+    skips_ramp: bool = False
 
     def new_share(self) -> float:
         """Return the share of the requests that may go to the new version."""
         if self.phase is RolloutPhase.TRIAL:
             return CANARY_SHARE
         if self.phase is RolloutPhase.SHIFT:
+            if self.skips_ramp:
+                return 1.0
             progress = min(1.0, max(0.0, self.phase_age_ms) / RAMP_MS)
             return RAMP_START_SHARE + (1.0 - RAMP_START_SHARE) * progress
         return 1.0 if self.phase is RolloutPhase.COMPLETED else 0.0
@@ -81,8 +86,8 @@
         return old
     if rule.phase is RolloutPhase.COMPLETED:
         return new if rule.has_new else old
-    if not rule.has_old:
-        # The service ran on the ordered version before the order, so there is nothing to try out.
+    if not rule.had_old_since_order:
+        # No other version was registered since the order, so there is nothing to compare with.
         return new
     share = rule.new_share()
     if draw >= share and share < 1.0:
--- a/testing/features/steps/rollout_entry_steps.py
+++ b/testing/features/steps/rollout_entry_steps.py
@@ -15,13 +15,14 @@
     RolloutOrder,
     RolloutOrdered,
     RolloutPhase,
+    RolloutPhaseGone,
     RolloutPhaseSeen,
     RolloutState,
     RolloutWithdrawn,
     TargetSeen,
 )
 from kingcupusher._gateway.rollout_traffic import RolloutTraffic
-from kingcupusher._gateway.rollouts import MAX_CHECK_GAP_MS, NEW_LEAD_WAIT_MS, Rollouts
+from kingcupusher._gateway.rollouts import MAX_CHECK_GAP_MS, NEW_LEAD_WAIT_MS, RolloutControl
 from kingcupusher._limits.rollout_ledger import EntryCounts, Outcomes, RouteOutcomes
 from kingcupusher._observe.metrics_registry import Metrics
 from kingcupusher._relay import LeadServer
@@ -68,7 +69,7 @@
                 )
                 fixture.catalog.apply([TargetSeen(record)], now_ms=now_ms())
             fixture.catalog.apply(_changes(RolloutPhase(phase)), now_ms=now_ms())
-            fixture.gateway.rollouts._rng = SimpleNamespace(random=lambda: draw)
+            fixture.gateway.rollout_traffic._rng = SimpleNamespace(random=lambda: draw)
             assert (await fixture.call("lookup"))[0] == status
             sent = [len(target.received) for target in fixture.targets]
             return {"old": sent[0] + sent[1], "new": sent[2] + sent[3]}
@@ -99,7 +100,7 @@
     traffic = RolloutTraffic(catalog, Metrics(), rng=None)
     link = SimpleNamespace(is_lead=True, lead="e1")
     rng = SimpleNamespace(randrange=lambda _limit: 1)
-    rollouts = Rollouts(
+    rollouts = RolloutControl(
         catalog, traffic, link, server, store, on_event=lambda *_a, **_f: None, rng=rng
     )
     catalog.apply([versioned_target("t1", "v1")], now_ms=0.0)
@@ -126,6 +127,165 @@
     curio.run(main)
 
 
+class _ChangingStore:
+    """Applies ``change`` to the order of the other service during the first write."""
+
+    def __init__(self, catalog, change):
+        self._catalog = catalog
+        self._change = change
+        self.written = []
+
+    async def write_rollout(self, state):
+        """Take the write."""
+        self.written.append((state.service, state.order_revision))
+        if len(self.written) == 1:
+            other = {"s": "t", "t": "s"}[state.service]
+            changed = RolloutWithdrawn(other)
+            if self._change == "replaced":
+                changed = RolloutOrdered(_order(other, 99))
+            self._catalog.apply([changed], now_ms=now_ms())
+        return True
+
+
+def _order(service, revision):
+    return RolloutOrder(
+        service=service, target_version="v2", duration_ms=DURATION_MS, revision=revision
+    )
+
+
+def _rollouts(catalog, store, server=None):
+    traffic = RolloutTraffic(catalog, Metrics(), rng=None)
+    link = SimpleNamespace(is_lead=True, lead="e1")
+    rng = SimpleNamespace(randrange=lambda _limit: 1)
+    return RolloutControl(
+        catalog,
+        traffic,
+        link,
+        server or LeadServer(),
+        store,
+        on_event=lambda *_a, **_f: None,
+        rng=rng,
+    )
+
+
+@then("a lead that writes a {kind} phase skips an order that is {change} during the write")
+def then_skipped_order(context, kind, change):
+    catalog = Catalog()
+    catalog.apply([RolloutOrdered(_order(s, 7)) for s in "st"], now_ms=now_ms())
+    for service in "st" if kind == "lost" else "":
+        state = RolloutState(
+            service=service,
+            target_version="v2",
+            order_revision=7,
+            phase=RolloutPhase.ROLLED_BACK,
+            revision=8,
+        )
+        seen = [RolloutPhaseSeen(state), RolloutPhaseGone(service)]
+        catalog.apply(seen, now_ms=now_ms())
+    store = _ChangingStore(catalog, change)
+    curio.run(_rollouts(catalog, store).check)
+    assert len(store.written) == 1, store.written
+
+
+def _begun(versions, *, target_version, seen):
+    """Return the catalog, and what its lead writes for an order after the states ``seen``."""
+    catalog, store = Catalog(), _StateStore()
+    changes = [versioned_target(v, v) for v in versions]
+    order = msgspec.structs.replace(_order("s", 11), target_version=target_version)
+    changes += [RolloutOrdered(_order("s", 7)), *map(RolloutPhaseSeen, seen), RolloutOrdered(order)]
+    catalog.apply(changes, now_ms=now_ms())
+    curio.run(_rollouts(catalog, store).check)
+    (state,) = store.states
+    return catalog, state
+
+
+class _StateStore:
+    """Takes all writes."""
+
+    def __init__(self):
+        self.states = []
+
+    async def write_rollout(self, state):
+        """Keep what was written."""
+        self.states.append(state)
+        return True
+
+
+def _ended(phase, **fields):
+    return RolloutState(service="s", target_version="v2", order_revision=7, phase=phase, **fields)
+
+
+@then("of the rejected versions v0 and v2, a lead keeps v2 if only v1 and v2 are registered")
+def then_pruned(context):
+    earlier = _ended(RolloutPhase.ROLLED_BACK, rejected=("v0",))
+    _, state = _begun(("v1", "v2"), target_version="v3", seen=[earlier])
+    assert (state.phase, state.rejected) == (RolloutPhase.TRIAL, ("v2",)), state
+
+
+@then("after a restored store, lead and entries reject the version that was rolled back")
+def then_restored_view(context):
+    seen = [_ended(RolloutPhase.ROLLED_BACK), _ended(RolloutPhase.TRIAL)]
+    catalog, state = _begun(("v1", "v2"), target_version="v3", seen=seen)
+    assert state.rejected == ("v2",), state
+    assert catalog.rollout_states.in_force("s").rejected == ("v2",)
+
+
+@then('a lead writes "{phase}" for the completed version with targets of {versions}')
+def then_begun(context, phase, versions):
+    earlier = _ended(RolloutPhase.COMPLETED)
+    _, state = _begun(versions.split(), target_version="v2", seen=[earlier])
+    assert state.phase is RolloutPhase(phase), state
+
+
+@then("a lead that sees a shift 3 s late, linked to an entry that {report}, writes {written}")
+def then_moved_entries(context, report, written):
+    catalog, server, store = Catalog(), LeadServer(), _StateStore()
+    rollouts = _rollouts(catalog, store, server)
+    changes = _changes(RolloutPhase.SHIFT, duration_ms=12_000.0)
+    state = msgspec.structs.replace(changes[1].state, order_age_ms=8_000.0)
+    targets = [versioned_target(v, v) for v in ("v1", "v2")]
+    catalog.apply([*targets, changes[0], RolloutPhaseSeen(state)], now_ms=now_ms())
+    for entry in ("e1", "e2"):
+        server.link(entry)
+    good = Outcomes(0, {13: 100})
+    counts = EntryCounts(200, 100, {"a": RouteOutcomes(good, good)})
+    shift = (RolloutPhase.SHIFT, 0)
+    server.handle("e1", RolloutReport("s", 7, 11_000, 1, counts, *shift))
+    reported = {
+        "follows the shift": shift,
+        "is in the ramp": (RolloutPhase.TRIAL, 0),
+        "waits for a response of the old version": (RolloutPhase.SHIFT, 1),
+    }.get(report)
+    if reported:
+        server.handle("e2", RolloutReport("s", 7, 11_000, 1, EntryCounts(), *reported))
+
+    async def main():
+        await rollouts.check()
+        rollouts._wait_until_ms = 0.0
+        await rollouts.check()
+
+    curio.run(main)
+    phases = [state.phase.value for state in store.states]
+    assert phases == ([] if written == "nothing" else [written]), phases
+
+
+@then("a lead that checks 20 times in 2 s writes a lost final phase 2 times")
+def then_restored_slowly(context):
+    catalog, store = Catalog(), _RecordingStore()
+    rollouts = _rollouts(catalog, store)
+    ended = _ended(RolloutPhase.ROLLED_BACK)
+    seen = [RolloutOrdered(_order("s", 7)), RolloutPhaseSeen(ended), RolloutPhaseGone("s")]
+    catalog.apply(seen, now_ms=now_ms())
+
+    async def main():
+        for _ in range(20):
+            await rollouts.check()
+            await curio.sleep(0.098)
+
+    curio.run(main)
+    assert len(store.phases) == 2, store.phases
+
+
 # -- the model of a fleet
 
 
--- a/testing/gateway/rollout_entry.py
+++ b/testing/gateway/rollout_entry.py
@@ -12,7 +12,7 @@
 from kingcupusher._discovery import TargetRegistration, TargetSeen
 from kingcupusher._gateway.attempt import AttemptOutcome, AttemptResult
 from kingcupusher._gateway.rollout_traffic import RolloutTraffic
-from kingcupusher._gateway.rollouts import Rollouts
+from kingcupusher._gateway.rollouts import RolloutControl
 from kingcupusher._observe.metrics_registry import Metrics
 from kingcupusher._relay import LeadLink
 from testing.gateway.discovery_entry import DiscoveryEntry
@@ -51,10 +51,10 @@
             self.catalog,
             self.lead_server,
             entry=name,
-            is_needed=lambda: self.catalog.rollouts.needs_lead,
+            is_needed=lambda: self.catalog.rollout_states.needs_lead,
             on_event=self._on_event,
         )
-        self.rollouts = Rollouts(
+        self.rollouts = RolloutControl(
             self.catalog,
             self.traffic,
             self.link,
