--- a/src/kingcupusher/_limits/quota_tokens.py
+++ b/src/kingcupusher/_limits/quota_tokens.py
@@ -4,30 +4,24 @@
 
 from collections.abc import Mapping, Sequence
 from enum import Enum
-from math import ceil, exp, inf
+from math import inf
 from random import Random
 
 from msgspec import Struct
 
+from kingcupusher._limits.quota_account import REPORT_MS, QuotaAccount
 from kingcupusher._limits.quota_terms import QuotaLimit, TokenAnswer, TokenWish
 
 HOLD_MS = 500.0
 """Granted tokens that are not used in this time are given back."""
-REPORT_MS = 300.0
-"""Requests served without a grant are reported together after this time, to save calls."""
 FRESH_MS = 1_000.0
 """For this time, an answer of the lead tells which customers have tokens left."""
-AHEAD_MS = 200.0
-"""A call also asks for the tokens that the recent demand needs in this time."""
 RETRY_CALL_MS = 300.0
 """Pause before the next call after one without an answer."""
 COUNTED_MS = 2_500.0
 """The lead counts a silent entry as linked for this time."""
 UNKNOWN_MS = 500.0
 """Pause before a customer is asked for again that the lead's configuration does not contain."""
-DEMAND_DECAY_MS = 1_000.0
-ADVANCE_FACTOR = 1.5
-"""Requests served without a grant may exceed the recent demand by this factor."""
 OWN_SHARE = 0.7
 """Part of its share that an entry without a lead uses, while the lead may still count it."""
 ENTRIES_ASSUMED_WITHOUT_LEAD = 320
@@ -52,69 +46,6 @@
     is_own: bool = False
 
 
-class _Account:
-    """Tokens and recent demand of one customer at this entry.
-
-    ``held`` tokens were granted by the lead and lapse at ``held_until_ms``. ``used`` is what the
-    next call reports to the lead, less what it gives back; ``advanced`` counts the requests served
-    without a grant since the last call. ``own`` is the part of the entry's own share left at
-    ``own_settled_ms``, ``demand`` the decayed number of requests at ``demand_updated_ms``. Requests
-    without a token are refused until ``refuse_until_ms``; refused callers come back within
-    ``spread_ms`` after it. Until ``unknown_until_ms``, the lead knows no quota of the customer.
-    """
-
-    __slots__ = (
-        "advanced",
-        "demand",
-        "demand_updated_ms",
-        "held",
-        "held_until_ms",
-        "limit",
-        "own",
-        "own_settled_ms",
-        "refuse_until_ms",
-        "spread_ms",
-        "unknown_until_ms",
-        "used",
-    )
-
-    def __init__(self, limit: QuotaLimit) -> None:
-        self.limit = limit
-        self.held = 0
-        self.held_until_ms = -inf
-        self.advanced = 0
-        self.used = 0
-        self.demand = 0.0
-        self.demand_updated_ms = -inf
-        self.refuse_until_ms = -inf
-        self.spread_ms = 0.0
-        self.unknown_until_ms = -inf
-        self.own = 0.0
-        self.own_settled_ms = -inf
-
-    def count_request(self, now_ms: float) -> None:
-        self.demand = self.demand_per_ms(now_ms) * DEMAND_DECAY_MS + 1.0
-        self.demand_updated_ms = now_ms
-
-    def demand_per_ms(self, now_ms: float) -> float:
-        return (
-            self.demand
-            * exp(-(now_ms - self.demand_updated_ms) / DEMAND_DECAY_MS)
-            / DEMAND_DECAY_MS
-        )
-
-    def max_advance(self, now_ms: float) -> int:
-        return 1 + ceil(self.demand_per_ms(now_ms) * REPORT_MS * ADVANCE_FACTOR - 0.5)
-
-    def ahead(self, now_ms: float) -> int:
-        return int(self.demand_per_ms(now_ms) * AHEAD_MS)
-
-    def release_lapsed(self, now_ms: float) -> None:
-        if self.held and now_ms >= self.held_until_ms:
-            self.used -= self.held
-            self.held = 0
-
-
 class QuotaTokens:
     """Decides on the requests of one entry.
 
@@ -141,7 +72,7 @@
 
     def __init__(self, rng: Random) -> None:
         self._rng = rng
-        self._accounts: dict[str, _Account] = {}
+        self._accounts: dict[str, QuotaAccount] = {}
         self._scarce: frozenset[str] = frozenset()
         self._answered_ms = -inf
         self._asked_ms = -inf
@@ -162,7 +93,7 @@
         for name, limit in limits.items():
             account = self._accounts.get(name)
             if account is None:
-                account = _Account(limit)
+                account = QuotaAccount(limit)
             elif account.limit != limit:
                 account.used -= account.held
                 account.held = 0
@@ -351,14 +282,14 @@
 
     # -- details
 
-    def _take_held(self, account: _Account, now_ms: float) -> bool:
+    def _take_held(self, account: QuotaAccount, now_ms: float) -> bool:
         account.release_lapsed(now_ms)
         if not account.held:
             return False
         account.held -= 1
         return True
 
-    def _may_advance(self, customer: str, account: _Account, now_ms: float) -> bool:
+    def _may_advance(self, customer: str, account: QuotaAccount, now_ms: float) -> bool:
         is_fresh = now_ms - self._answered_ms < FRESH_MS
         if not is_fresh or customer in self._scarce or account.unknown_until_ms > now_ms:
             return False
--- a/src/kingcupusher/_routing/selection.py
+++ b/src/kingcupusher/_routing/selection.py
@@ -63,6 +63,15 @@
     return [candidate for group in groups for candidate in group]
 
 
+def _by_zone(candidates: Sequence[C]) -> tuple[list[C], list[C], list[C], list[C]]:
+    """Return the good ones of the own zone and of others, then the suspended and the cold ones."""
+    good = [c for c in candidates if not c.is_suspended and not c.is_cold]
+    own = [c for c in good if c.is_own_zone]
+    other = [c for c in good if not c.is_own_zone]
+    suspended = [c for c in candidates if c.is_suspended and not c.is_cold]
+    return own, other, suspended, [c for c in candidates if c.is_cold]
+
+
 @PROBE_ORDERS.register("near_first")
 class _NearFirst:
     """Random order, but the near targets of this entry before the others.
@@ -88,12 +97,7 @@
     @staticmethod
     def order(candidates: Sequence[C], *, entry: str, top_k: int, rng: Random) -> list[C]:
         """Return the candidates that neither failed lately nor are cold first."""
-        by_affinity = _by_affinity(candidates, entry)
-        good = [c for c in by_affinity if not c.is_suspended and not c.is_cold]
-        own = [c for c in good if c.is_own_zone]
-        other = [c for c in good if not c.is_own_zone]
-        suspended = [c for c in by_affinity if c.is_suspended and not c.is_cold]
-        cold = [c for c in by_affinity if c.is_cold]
+        own, other, suspended, cold = _by_zone(_by_affinity(candidates, entry))
         return _shuffled(
             (own[:top_k], other[:top_k], own[top_k:] + other[top_k:], suspended, cold), rng
         )
@@ -106,12 +110,7 @@
     @staticmethod
     def order(candidates: Sequence[C], *, entry: str, top_k: int, rng: Random) -> list[C]:
         """Return the candidates that neither failed lately nor are cold first."""
-        by_affinity = _by_affinity(candidates, entry)
-        good = [c for c in by_affinity if not c.is_suspended and not c.is_cold]
-        own = [c for c in good if c.is_own_zone]
-        other = [c for c in good if not c.is_own_zone]
-        suspended = [c for c in by_affinity if c.is_suspended and not c.is_cold]
-        cold = [c for c in by_affinity if c.is_cold]
+        own, other, suspended, cold = _by_zone(_by_affinity(candidates, entry))
         parts = (own[:top_k], own[top_k:], other[:top_k], other[top_k:], suspended, cold)
         return _shuffled(parts, rng)
 
