--- a/review/harness-2/stand_ins.py
+++ b/review/harness-2/stand_ins.py
@@ -10,6 +10,8 @@
 import base64
 import json
 import os
+import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -24,6 +26,10 @@
 HOST = "127.0.0.1"
 ZONES = ("lagos-ikeja", "lagos-lekki", "lagos-apapa")
 ROLE = "entry"
+LOWEST_PORT = 10_000
+PORTS_PER_ENTRY = 16
+MAX_LOGGED_CHARS = 2_000
+_chosen_ports: set[int] = set()
 CONTRACT_PARAMS = [
     "seedPropagationS=3",
     "addressReuseS=2",
@@ -68,9 +74,18 @@
 
 
 def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return int(sock.getsockname()[1])
+    """Return a free port outside the range of outgoing connections, which could take it."""
+    first_outgoing = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    while True:
+        port = random.randrange(LOWEST_PORT, first_outgoing)
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in _chosen_ports:
+            _chosen_ports.add(port)
+            return port
 
 
 # -- HTTP/1.1 messages
@@ -181,9 +196,7 @@
                 for key in [k for k, item in self.items.items() if item["lease"] == lease]:
                     self.remove(key)
 
-    async def _on_client(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    async def _on_client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while True:
                 request = await read_message(reader)
@@ -334,9 +347,7 @@
     def _load(self) -> str:
         return f"{self._running},{self._waiting},{self.slots},100"
 
-    async def _on_client(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    async def _on_client(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._connections.add(writer)
         try:
             while True:
@@ -426,7 +437,7 @@
 ipAddress = "{HOST}"
 zone = "{self._zone}"
 region = "lagos"
-internalPortRange = [{self.metrics_port},{self.metrics_port + 15}]
+internalPortRange = [{self.metrics_port},{self.metrics_port + PORTS_PER_ENTRY - 1}]
 seedNodes = {json.dumps(seeds)}
 bootstrap = true
 toleranceCounted = false
@@ -530,6 +541,7 @@
         entry_count: int = 1,
         limits: dict | None = None,
         memory_mb: int = 300,
+        server_type: type[Server] = Server,
     ) -> None:
         await self.store.start()
         default = {"maxHeaderBytes": 16384, "maxBodyBytes": 67108864}
@@ -537,7 +549,7 @@
         config = {"version": "r7", "routes": routes, "services": services}
         self.store.put("op/config", config | {"limits": default | (limits or {})})
         for fields in servers:
-            server = Server(self.store, self.record, **fields)
+            server = server_type(self.store, self.record, **fields)
             self.servers.append(server)
             await server.start()
         for index in range(entry_count):
@@ -556,11 +568,14 @@
             if await entry.is_ready():
                 return
             await asyncio.sleep(0.1)
+        log = entry.log_path.read_text(errors="replace")[-MAX_LOGGED_CHARS:]
+        self.record.add(f"log of {entry.name}: {log}")
         raise CannotRunError(f"{entry.name} did not become ready")
 
     def stop(self) -> None:
         for entry in self.entries:
             entry.stop()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class CannotRunError(Exception):
