Limit the recent changes that an entry keeps by their size

Cause: an entry keeps the last 256 batches of changes for entries that lag behind. A changed configuration is one change with the whole table, about 1 MB at 1,957 routes, and all entries learn the same ones.

Evidence: 168 changes took 23 MB to 200 MB in each of three entries. The follower alone, under tracemalloc, keeps 35.1 MB after 200 configurations of 800 routes. The parsing heap and the encoded updates (eight) are ruled out by that.

Change: ChangeHistory keeps only the newest version of the table, in the batch that published it. An entry that lacks an older one lacks this one too, so it still gets all it needs.

--- a/src/kingcupusher/_discovery/follower.py
+++ b/src/kingcupusher/_discovery/follower.py
@@ -13,6 +13,7 @@
 
 from kingcupusher._core import now_ms
 from kingcupusher._discovery.catalog import REREGISTRATION_GRACE_MS, Catalog
+from kingcupusher._discovery.change_history import ChangeHistory
 from kingcupusher._discovery.change_source import (
     ChangeBatch,
     ChangeSource,
@@ -21,7 +22,7 @@
     Update,
 )
 from kingcupusher._discovery.changes import Change, StoreReturned
-from kingcupusher._discovery.position import StorePosition
+from kingcupusher._discovery.position import NO_POSITION, StorePosition
 from kingcupusher._discovery.store_probes import StoreProbes
 
 WATCH_WAIT_MS = 1_000.0
@@ -48,7 +49,6 @@
 READER_SEARCH_MS = 2_000.0
 """An entry that has just started looks for a reader for this time before it watches the store,
 which costs ten times as much as a stale read. Changes are due 3 s after its start."""
-HISTORY_LENGTH = 256
 OWN_CALL = "store"
 """Source of a confirmation that no reader relayed."""
 
@@ -90,7 +90,7 @@
         self._response_timeout_ms = RESPONSE_TIMEOUT_MS
         self._probes = StoreProbes(source, on_failure=self._log_failed_call)
         self._heard_ms = 0.0
-        self._history: list[ChangeBatch] = []
+        self._history = ChangeHistory(NO_POSITION)
         self._reregistration_until_ms = 0.0
         self._must_read_all = False
         self._search_until_ms = 0.0
@@ -168,6 +168,11 @@
         self._record_success(confirmed_ms)
         await self._apply_update(Update(batch.changes, batch.position, is_full=True))
 
+    @property
+    def history_bytes(self) -> int:
+        """Memory that the recent changes take which are kept for other entries."""
+        return self._history.size_bytes
+
     # -- updates from readers
 
     async def on_update(self, update: Update) -> None:
@@ -193,10 +198,9 @@
         """Return the update for an entry at ``position``, None if it lacks nothing."""
         if self.position is None or not self.lacks_update(position):
             return None
-        if position is None or not self._history or self._history[0].position > position:
+        changes = None if position is None else self._history.after(position)
+        if changes is None:
             return Update(self._catalog.snapshot(), self.position, is_full=True)
-        newer = [batch for batch in self._history if batch.position > position]
-        changes = [change for batch in newer for change in batch.changes]
         return Update(changes, self.position, is_full=False)
 
     # -- details
@@ -209,11 +213,10 @@
         self._check_restoration(update.position)
         if update.is_full:
             self._catalog.replace(update.changes, now_ms=now_ms())
-            self._history = [ChangeBatch([], update.position)]
+            self._history = ChangeHistory(update.position)
         else:
             self._catalog.apply(update.changes, now_ms=now_ms())
-            self._history.append(ChangeBatch(update.changes, update.position))
-            del self._history[:-HISTORY_LENGTH]
+            self._history.append(update.changes, update.position)
         self.position = update.position
         self._must_read_all = False
         await self.updated.set()
--- a/src/kingcupusher/_gateway/process.py
+++ b/src/kingcupusher/_gateway/process.py
@@ -267,6 +267,7 @@
             | self._customer_quotas.gauges(now_ms=current_ms)
             | {
                 ("news_age_ms", ()): current_ms - self._follower.confirmed_ms,
+                ("change_history_bytes", ()): self._follower.history_bytes,
                 ("store_restorations", ()): position.restorations,
                 ("store_revision", ()): position.revision,
                 ("is_reader", ()): float(self._reader_slot.is_held),
--- a/testing/features/steps/relay_size_steps.py
+++ b/testing/features/steps/relay_size_steps.py
@@ -14,7 +14,7 @@
 from kingcupusher._relay import LeadServer, RelayServer, Subscriptions
 from kingcupusher._relay.messages import Compressed, decode
 from standins.ports import free_address
-from testing.gateway.fixture import route_table
+from testing.gateway.fixture import many_routes, route_table
 from testing.gateway.store import FakeStore
 
 LIST_DELAY_S = 5.0
@@ -108,18 +108,6 @@
     return curio.run(main)
 
 
-def _many_routes(count):
-    first = route_table().routes[0]
-    fields = {name: getattr(first, name) for name in first.__struct_fields__}
-    table = route_table()
-    routes = [
-        type(first)(**{**fields, "name": f"r{i}", "prefix": b"/r%d/" % i}) for i in range(count)
-    ]
-    return type(table)(
-        version=1, routes=tuple(routes), services=table.services, limits=table.limits
-    )
-
-
 @given("a reader with {count:d} subscribers that it has listed")
 def given_listed(context, count):
     context.routes, context.count = route_table(), count
@@ -177,7 +165,7 @@
 
 @given("a reader whose store publishes {count:d} routes")
 def given_many_routes(context, count):
-    context.routes = _many_routes(count)
+    context.routes = many_routes(count)
 
 
 @when("an entry subscribes")
--- a/testing/gateway/fixture.py
+++ b/testing/gateway/fixture.py
@@ -6,6 +6,7 @@
 
 import curio
 import h11
+import msgspec
 
 from kingcupusher._core import now_ms
 from kingcupusher._core.address import Address
@@ -69,6 +70,16 @@
     return RouteTable(version=version, routes=table, services={"s": policy}, limits=CallerLimits())
 
 
+def many_routes(count, *, version=1):
+    """Return a route table with ``count`` routes of their own prefixes to the service ``s``."""
+    table = route_table(version=version)
+    routes = [
+        msgspec.structs.replace(table.routes[0], name=f"r{i}", prefix=b"/r%d/" % i)
+        for i in range(count)
+    ]
+    return msgspec.structs.replace(table, routes=tuple(routes))
+
+
 def registration(target, *, zone="a", is_draining=False, born_unix_ms=1, cold_left_ms=0.0):
     """Return the registration of a fake target."""
     return TargetRegistration(
