Limit the encoded updates that a reader keeps by their size

Cause: a reader keeps eight encoded updates for subscribers that lack the same changes, whatever their size. It is the same class as the history of changes; callers were not seen to suffer from it.

Change: UpdateCache, a module of its own, keeps at most 1 MiB beside the newest update, and eight. The newest is kept whatever its size, so that a large one isn't encoded again for each of many subscribers.

Test: memory_limits.feature.

--- a/src/kingcupusher/_relay/server.py
+++ b/src/kingcupusher/_relay/server.py
@@ -8,7 +8,7 @@
 from kingcupusher._core.address import Address
 from kingcupusher._core.connection_server import serve_connections
 from kingcupusher._core.startup import listen
-from kingcupusher._discovery import NO_POSITION, Catalog, StoreFollower, StorePosition
+from kingcupusher._discovery import NO_POSITION, Catalog, StoreFollower
 from kingcupusher._http.tcp import enable_tcp_keepalive
 from kingcupusher._peers.connection import ByteCounters, Connection, PeerIdentity, accept
 from kingcupusher._peers.errors import HandshakeError, LinkClosedError, MessageError
@@ -22,6 +22,7 @@
 )
 from kingcupusher._relay.messages import decode as decode_message
 from kingcupusher._relay.messages import encode as encode_message
+from kingcupusher._relay.update_cache import UpdateCache
 
 HANDSHAKE_TIMEOUT_S = 1.0
 MAX_SILENCE_S = 1.2
@@ -29,7 +30,6 @@
 ENTRY_LIST_DELAY_MS = 5_000.0
 """Entries connect to a new reader within this time; its list is too short before."""
 ENTRY_LIST_INTERVAL_MS = 1_000.0
-MAX_CACHED_UPDATES = 8
 SEND_TIMEOUT_S = 2.0
 BACKLOG = 256
 
@@ -82,7 +82,7 @@
         self._entries = frozenset([entry])
         self._entries_marked_ms = 0.0
         self._list_from_ms = 0.0
-        self._cached_updates: dict[tuple[StorePosition | None, StorePosition], bytes] = {}
+        self._cached_updates = UpdateCache()
         self.counters = ByteCounters()
 
     async def run(self) -> None:
@@ -166,9 +166,7 @@
             update = self._follower.update_after(before)
             assert update is not None
             encoded = encode_message(CatalogUpdate(position, update.is_full, update.changes))
-            while len(self._cached_updates) >= MAX_CACHED_UPDATES:
-                del self._cached_updates[next(iter(self._cached_updates))]
-            self._cached_updates[before, position] = encoded
+            self._cached_updates.put((before, position), encoded)
         return encoded
 
     def _encoded_list_change(self, subscriber: _Subscriber) -> bytes | None:
