--- a/testing/features/memory_limits.feature
+++ b/testing/features/memory_limits.feature
@@ -7,6 +7,7 @@
 
     Examples:
       | event                                             | count | limit_kb |
+      | a target reports its load in 16 KB of text        | 1000  | 500      |
       | a subscriber gets an encoded update of 400 KB     | 20    | 1100     |
 
   Scenario: The newest encoded update is kept whatever its size
