Forget what is kept for routes that were removed

Cause: estimates of response times are kept by the name of a route and never removed, and positions in the sequence of a split stay as long as any route has the same services. With routes that come and go, both grow without a limit; callers were not seen to suffer from it.

Change: both are dropped with the route when a configuration comes into force.

Test: memory_limits.feature.

--- a/src/kingcupusher/_discovery/catalog.py
+++ b/src/kingcupusher/_discovery/catalog.py
@@ -186,10 +186,9 @@
             return
         before = self.route_table.version if self.route_table else None
         self.route_table = table
+        splits = {(route.name, route.parts) for route in table.routes}
         self._round_robins = {
-            key: round_robin
-            for key, round_robin in self._round_robins.items()
-            if key[1] in _parts_of(table)
+            key: round_robin for key, round_robin in self._round_robins.items() if key in splits
         }
         self._by_host = {}
         for route in sorted(table.routes, key=lambda route: -len(route.prefix)):
@@ -300,7 +299,3 @@
         record.address,
         record.service,
     )
-
-
-def _parts_of(table: RouteTable) -> set[tuple[object, ...]]:
-    return {route.parts for route in table.routes}
--- a/src/kingcupusher/_gateway/state.py
+++ b/src/kingcupusher/_gateway/state.py
@@ -91,6 +91,7 @@
         self._retry_budgets: dict[str, WindowedRetryBudget] = {}
         self._wait_queues: dict[str, WaitQueue] = {}
         self._response_times: dict[str, ResponseTimeEstimate] = {}
+        catalog.listeners.append(self._forget_removed_routes)
         self.crash_reports = CrashReports(store, on_event=self.on_event)
         self.drain = Drain()
         self.hedge_state: HedgeState | None = None
@@ -179,6 +180,16 @@
             )
         return estimate
 
+    def _forget_removed_routes(self, event: str, fields: dict[str, object]) -> None:  # noqa: ARG002
+        """Drop the response time estimates of routes that are no longer in force."""
+        table = self.catalog.route_table
+        if event != "routes in force" or table is None:
+            return
+        names = {route.name for route in table.routes}
+        self._response_times = {
+            name: estimate for name, estimate in self._response_times.items() if name in names
+        }
+
     def gauges(self, *, now_ms: float) -> dict[tuple[str, Labels], float]:
         """Return the current values of the gauges."""
         catalog = self.catalog
