Do not pass on a refusal that the target has not proven

Cause: a signed response is classified by its status alone, as a success below 500 and as a failure from 500 on, and both are passed on. 408, 429 and 503 are promises to callers whoever sends them, and only the target can make them, by its header.

Evidence: each wrong answer in the record follows a signed 503 of the target to the same request; the entry's own refusals are ruled out, since they need that no target may have run the request.

Change: such a response is an unproven refusal. The request may have run, so its caller gets 502 and only an idempotent one goes to another target. Announcements in the response still count. What the attempts show moves from the exchange to RequestOutcome.

--- a/src/kingcupusher/_gateway/attempt.py
+++ b/src/kingcupusher/_gateway/attempt.py
@@ -28,6 +28,7 @@
     SUCCESS = "success"
     FAILURE = "failure"
     NOT_RUN = "not-run"
+    UNPROVEN_REFUSAL = "unproven-refusal"
     BROKEN = "broken"
     UNANSWERED = "unanswered"
     SUPERSEDED = "superseded"
@@ -37,6 +38,7 @@
     ResponseKind.SUCCESS: AttemptOutcome.SUCCESS,
     ResponseKind.FAILURE: AttemptOutcome.FAILURE,
     ResponseKind.NOT_RUN: AttemptOutcome.NOT_RUN,
+    ResponseKind.UNPROVEN_REFUSAL: AttemptOutcome.UNPROVEN_REFUSAL,
     ResponseKind.INVALID: AttemptOutcome.BROKEN,
 }
 DEADLINE_REASON = "no response in time"
@@ -151,6 +153,9 @@
         if kind is ResponseKind.INVALID:
             return AttemptResult(self, outcome, reason="the response is not the target's own")
         announcement = self._header_codec.announcement(response)
+        if kind is ResponseKind.UNPROVEN_REFUSAL:
+            reason = f"status {response.status} without a statement that the request has not run"
+            return AttemptResult(self, outcome, reason=reason, announcement=announcement)
         return AttemptResult(self, outcome, response, announcement=announcement)
 
     async def _read_own_response(self, connection: ClientConnection) -> BufferedResponse:
--- a/src/kingcupusher/_gateway/error_responses.py
+++ b/src/kingcupusher/_gateway/error_responses.py
@@ -46,6 +46,9 @@
     status=503, reason="the time for the request ended before it was sent", retry_after_ms=200.0
 )
 TIMED_OUT = ErrorResponse(status=504, reason="the time for the request ended before its response")
+UNPROVEN_REFUSAL = ErrorResponse(
+    status=502, reason="the target refused the request and may have run it all the same"
+)
 INCOMPLETE_RESPONSE = ErrorResponse(status=502, reason="the target gave no complete response")
 
 
--- a/src/kingcupusher/_gateway/exchange.py
+++ b/src/kingcupusher/_gateway/exchange.py
@@ -12,17 +12,15 @@
 from kingcupusher._gateway.caller_response import write_error_response, write_response
 from kingcupusher._gateway.concurrent_attempts import ConcurrentAttempts
 from kingcupusher._gateway.error_responses import (
-    INCOMPLETE_RESPONSE,
     NO_TARGET,
     SHUTTING_DOWN,
-    TIMED_OUT,
-    TIMED_OUT_BEFORE_SEND,
     ErrorResponse,
 )
 from kingcupusher._gateway.hedges import Hedger
 from kingcupusher._gateway.load_probe import ProbedTarget
 from kingcupusher._gateway.request_fingerprint import request_fingerprint
 from kingcupusher._gateway.request_log import RequestLog
+from kingcupusher._gateway.request_outcome import RequestOutcome
 from kingcupusher._gateway.request_token import RequestToken
 from kingcupusher._gateway.route_match import RouteMatch, match_route
 from kingcupusher._gateway.send_rules import SendRules
@@ -44,17 +42,16 @@
     __slots__ = (
         "_caller",
         "_deadline_ms",
-        "_fallback_response",
         "_fingerprint",
         "_gateway",
         "_log",
         "_hedger",
         "_in_flight",
         "_match",
+        "_outcome",
         "_request_id",
         "_rules",
         "_route",
-        "_possibly_executed_by",
         "_winning_response",
         "_attempts",
         "_search",
@@ -74,11 +71,10 @@
         self._route: Route | None = None
         self._service: ServiceConfig | None = None
         self._search: TargetSearch | None = None
-        self._possibly_executed_by: set[str] = set()
+        self._outcome = RequestOutcome()
         self._attempts: list[Attempt] = []
         self._hedger: Hedger | None = None
         self._in_flight = ConcurrentAttempts()
-        self._fallback_response: BufferedResponse | None = None
         self._winning_response: BufferedResponse | None = None
         self._token = RequestToken(gateway)
 
@@ -133,9 +129,7 @@
             for attempt in self._in_flight.running:
                 attempt.penalize_target()
             self._end_attempts(AttemptOutcome.UNANSWERED, DEADLINE_REASON)
-            if self._fallback_response is not None:
-                return self._fallback_response
-            return TIMED_OUT if self._possibly_executed_by else TIMED_OUT_BEFORE_SEND
+            return self._outcome.response_at_deadline()
 
     async def _serve(self) -> BufferedResponse | ErrorResponse:
         assert self._route is not None and self._match is not None
@@ -172,7 +166,7 @@
             if response is not None:
                 return response
             probed = await self._next_target()
-        return self._final_response()
+        return self._outcome.response_without_success(self._search.refusal)
 
     async def _first_success(self) -> BufferedResponse | None:
         """Return the first successful response of the attempts in flight, or None if all failed."""
@@ -229,7 +223,7 @@
         )
         target_id = probed.target.target_id
         self._search.exclude(target_id)
-        self._possibly_executed_by.add(target_id)
+        self._outcome.on_send(target_id)
         self._attempts.append(attempt)
         self._gateway.rollout_traffic.on_send(attempt, is_first=len(self._attempts) == 1)
         await self._in_flight.start(attempt, deadline_ms=self._deadline_ms)
@@ -246,24 +240,21 @@
                 self._hedger.on_success(attempt, cost=cost, typical_ms=estimate.typical_ms)
             estimate.on_response(elapsed_ms=attempt.ended_ms - attempt.sent_ms, cost=cost)
         await self._gateway.learn_from(result, request_id=self._request_id)
-        if result.outcome is AttemptOutcome.NOT_RUN:
-            self._possibly_executed_by.discard(result.attempt.probed.target.target_id)
-        elif result.outcome is AttemptOutcome.FAILURE:
-            self._fallback_response = result.response
+        self._outcome.on_result(result)
         self._gateway.rollout_traffic.on_result(self._route.name, result)
         self._log.record_attempt(result)
 
     def _has_attempts_left(self) -> bool:
         """Return whether the limits on attempts and targets of the request allow another one."""
         assert self._route is not None
-        has_targets_left = len(self._possibly_executed_by) < self._route.max_targets
+        has_targets_left = self._outcome.possible_executions < self._route.max_targets
         return len(self._attempts) < MAX_ATTEMPTS and has_targets_left
 
     async def _next_target(self) -> ProbedTarget | None:
         """Return another target if the request may be retried and the limits allow it."""
         assert self._route is not None and self._service is not None
         assert self._search is not None
-        is_safe = self._route.is_idempotent or not self._possibly_executed_by
+        is_safe = self._route.is_idempotent or not self._outcome.may_have_run
         if not (is_safe and self._has_attempts_left() and self._rules.may_retry(self._route)):
             return None
         if not self._rules.spend_retry(self._service, reserve=0):
@@ -276,12 +267,6 @@
             if probed is None:
                 self._rules.refund_retry(self._service)
 
-    def _final_response(self) -> BufferedResponse | ErrorResponse:
-        assert self._search is not None
-        if self._fallback_response is not None:
-            return self._fallback_response
-        return INCOMPLETE_RESPONSE if self._possibly_executed_by else self._search.refusal
-
     async def _respond(self, response: BufferedResponse | ErrorResponse) -> None:
         header_codec = self._gateway.header_codec
         if isinstance(response, BufferedResponse):
--- a/src/kingcupusher/_gateway/header_codec.py
+++ b/src/kingcupusher/_gateway/header_codec.py
@@ -14,11 +14,16 @@
 
 
 class ResponseKind(Enum):
-    """Classification of a target's response."""
+    """Classification of a target's response.
+
+    ``UNPROVEN_REFUSAL`` has a status by which callers understand that the request has not run,
+    without the target's statement that it has not. It must not be passed on.
+    """
 
     SUCCESS = "success"
     FAILURE = "failure"
     NOT_RUN = "not-run"
+    UNPROVEN_REFUSAL = "unproven-refusal"
     INVALID = "invalid"
 
 
--- a/src/kingcupusher/_gateway/rollout_traffic.py
+++ b/src/kingcupusher/_gateway/rollout_traffic.py
@@ -18,6 +18,7 @@
 IS_FAILURE_BY_OUTCOME = {
     AttemptOutcome.SUCCESS: False,
     AttemptOutcome.FAILURE: True,
+    AttemptOutcome.UNPROVEN_REFUSAL: True,
     AttemptOutcome.BROKEN: True,
     AttemptOutcome.SUPERSEDED: False,
     AttemptOutcome.UNANSWERED: False,
--- a/testing/features/users_platform.feature
+++ b/testing/features/users_platform.feature
@@ -61,6 +61,13 @@
       | 421    | nothing            | NOT_RUN |
       | 503    | nothing            | INVALID |
       | 200    | signature,not run  | SUCCESS |
+      | 408    | not run            | NOT_RUN |
+      | 503    | signature,not run  | NOT_RUN |
+      | 408    | nothing            | INVALID |
+      | 503    | signature,encoding | INVALID |
+      | 408    | signature          | UNPROVEN_REFUSAL |
+      | 429    | signature          | UNPROVEN_REFUSAL |
+      | 503    | signature          | UNPROVEN_REFUSAL |
 
   Scenario Outline: The request rate that a target states is decoded
     Then a load probe response with the rate "<field>" states <rate> requests a second
--- a/testing/gateway/plain_header_codec.py
+++ b/testing/gateway/plain_header_codec.py
@@ -10,6 +10,7 @@
     {b"connection", b"content-length", b"transfer-encoding", b"x-timeout-ms"}
 )
 
+PROMISE_STATUSES = frozenset({408, 429, 503})
 IDENTITY_HEADERS = frozenset({b"x-key", b"x-customer"})
 
 
@@ -48,6 +49,8 @@
             return ResponseKind.NOT_RUN
         if response.header(b"x-signed") is None:
             return ResponseKind.INVALID
+        if response.status in PROMISE_STATUSES:
+            return ResponseKind.UNPROVEN_REFUSAL
         return ResponseKind.SUCCESS if response.status < 500 else ResponseKind.FAILURE
 
     def response_headers(self, response):
--- a/testing/gateway/targets.py
+++ b/testing/gateway/targets.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import partialmethod
+
 import curio
 import h11
 
@@ -108,11 +110,16 @@
         await sock.sendall(b"\x00\x01 not a response\r\n\r\n")
         return False
 
-    async def _be_failing(self, sock, request_id, body):
+    async def _fail(self, sock, request_id, body, *, status):
         self.executed.append(request_id)
-        await sock.sendall(self._signed_response(request_id, body, status=500))
+        await sock.sendall(self._signed_response(request_id, body, status=status))
         return True
 
+    _be_failing = partialmethod(_fail, status=500)
+    _be_failing_with_408 = partialmethod(_fail, status=408)
+    _be_failing_with_429 = partialmethod(_fail, status=429)
+    _be_failing_with_503 = partialmethod(_fail, status=503)
+
     async def _be_unsigned(self, sock, request_id, body):
         self.executed.append(request_id)
         await sock.sendall(_response(200, [("x-id", request_id)], b"not the target's own"))
