Do not take a cut watch for an outage of the store

Cause: any failed call counted as an outage, at whose end registrations that were removed are kept for 2.2 s, since they may only have lapsed. After a cut watch that end was the answer that told of the departure. Subscribers were told of the outage and kept the target as well.

Evidence: without the cut no request reaches a target after its removal. In one process all six entries know the removal in time, and mark the target as lapsed instead of removing it.

Change: StoreAvailability, a table of states and ends of calls. One watch that the store cut, or one call with status 429, makes the next call at once and without a wait. If that is answered within a heartbeat interval of the targets since the store last responded, no registration can have lapsed, which takes three. All else stays an outage.

Test: store_availability.feature.

--- a/src/kingcupusher/_discovery/__init__.py
+++ b/src/kingcupusher/_discovery/__init__.py
@@ -4,11 +4,14 @@
 
 from kingcupusher._discovery.catalog import Catalog
 from kingcupusher._discovery.change_source import (
+    CallEnd,
     ChangeBatch,
     ChangeSource,
     ChangeSourceError,
     HistoryGoneError,
+    RateLimitedError,
     Update,
+    WaitCutError,
 )
 from kingcupusher._discovery.changes import (
     Change,
@@ -49,11 +52,14 @@
     rejected_before,
     repeats_completed,
 )
+from kingcupusher._discovery.store_availability import DEFAULT_HEARTBEAT_MS
 from kingcupusher._discovery.target import Target
 
 __all__ = [
+    "DEFAULT_HEARTBEAT_MS",
     "NO_POSITION",
     "CallerLimits",
+    "CallEnd",
     "Catalog",
     "Change",
     "CrashSeen",
@@ -81,6 +87,7 @@
     "ChangeSource",
     "ChangeSourceError",
     "HistoryGoneError",
+    "RateLimitedError",
     "WeightedService",
     "StoreReturned",
     "Target",
@@ -88,6 +95,7 @@
     "TargetRegistration",
     "TargetSeen",
     "Update",
+    "WaitCutError",
     "ZoneReturned",
     "ZoneTakenOut",
     "key_digest",
--- a/src/kingcupusher/_discovery/change_source.py
+++ b/src/kingcupusher/_discovery/change_source.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import Protocol
+from enum import Enum
+from typing import ClassVar, Protocol
 
 from msgspec import Struct
 
@@ -11,9 +12,32 @@
 from kingcupusher._discovery.position import StorePosition
 
 
+class CallEnd(Enum):
+    """How a call to the store ended."""
+
+    ANSWERED = "answered"
+    CUT_WHILE_WAITING = "cut while waiting"
+    RATE_LIMITED = "rate-limited"
+    FAILED = "failed"
+
+
 class ChangeSourceError(KingcupusherError):
     """Raised when the store gave no usable response."""
 
+    end: ClassVar[CallEnd] = CallEnd.FAILED
+
+
+class WaitCutError(ChangeSourceError):
+    """Raised when the store ended a call that waited for changes without a response."""
+
+    end = CallEnd.CUT_WHILE_WAITING
+
+
+class RateLimitedError(ChangeSourceError):
+    """Raised when the store responded that too many calls are made."""
+
+    end = CallEnd.RATE_LIMITED
+
 
 class HistoryGoneError(ChangeSourceError):
     """Raised when the store no longer has the history after the given position."""
@@ -44,7 +68,8 @@
         """Return the changes after ``after``, none if the wait ended without any.
 
         ``timeout_ms`` counts from the end of the wait. Raises :class:`HistoryGoneError`, also
-        after a restoration of the store, or another :class:`ChangeSourceError`.
+        after a restoration of the store, :class:`WaitCutError` if the store ended the wait, or
+        another :class:`ChangeSourceError`.
         """
 
 
--- a/src/kingcupusher/_discovery/follower.py
+++ b/src/kingcupusher/_discovery/follower.py
@@ -15,6 +15,7 @@
 from kingcupusher._discovery.catalog import REREGISTRATION_GRACE_MS, Catalog
 from kingcupusher._discovery.change_history import ChangeHistory
 from kingcupusher._discovery.change_source import (
+    CallEnd,
     ChangeBatch,
     ChangeSource,
     ChangeSourceError,
@@ -23,6 +24,12 @@
 )
 from kingcupusher._discovery.changes import Change, StoreReturned
 from kingcupusher._discovery.position import NO_POSITION, StorePosition
+from kingcupusher._discovery.store_availability import (
+    DEFAULT_HEARTBEAT_MS,
+    StoreAvailability,
+    StoreEvent,
+    StoreState,
+)
 from kingcupusher._discovery.store_probes import StoreProbes
 
 WATCH_WAIT_MS = 1_000.0
@@ -57,8 +64,8 @@
     """Applies changes from the store and from readers, and keeps recent ones for relaying."""
 
     __slots__ = (
+        "_availability",
         "_catalog",
-        "_failing_since_ms",
         "_heard_ms",
         "_history",
         "_is_reader",
@@ -81,12 +88,13 @@
         *,
         is_reader: Callable[[], bool],
         on_event: Callable[..., None],
+        heartbeat_ms: float = DEFAULT_HEARTBEAT_MS,
     ) -> None:
         self._source = source
         self._catalog = catalog
         self._is_reader = is_reader
         self._on_event = on_event
-        self._failing_since_ms: float | None = None
+        self._availability = StoreAvailability(heartbeat_ms=heartbeat_ms)
         self._response_timeout_ms = RESPONSE_TIMEOUT_MS
         self._probes = StoreProbes(source, on_failure=self._log_failed_call)
         self._heard_ms = 0.0
@@ -112,8 +120,11 @@
                 self._on_event("store history lost", position=self.position, reason=str(error))
                 self._must_read_all = True
             except ChangeSourceError as error:
-                self._record_failure(error)
-                self._log_failed_call(error, now_ms() - sent_ms)
+                self._record_failure(error, now_ms() - sent_ms)
+                if self._is_in_doubt():
+                    await curio.sleep(CHECK_INTERVAL_S)
+                    continue
+                self._allow_longer_responses()
                 await self._probes.run(
                     interval_ms=self._probe_interval_ms, is_needed=self._must_read
                 )
@@ -158,8 +169,8 @@
             await curio.sleep(BATCH_PAUSE_MS / 1000.0)
 
     def _wait_ms(self, sent_ms: float) -> float:
-        """Return how long the store may wait for changes, 0 if it was unresponsive just now."""
-        if self._response_timeout_ms > RESPONSE_TIMEOUT_MS:
+        """Return how long the store may wait for changes, 0 if its last call failed."""
+        if self._response_timeout_ms > RESPONSE_TIMEOUT_MS or self._is_in_doubt():
             return 0.0
         paused_ms = min(BATCH_PAUSE_MS, max(0.0, sent_ms - self.confirmed_ms))
         return WATCH_WAIT_MS - paused_ms
@@ -244,27 +255,37 @@
 
     def _end_outage_known_to(self, reader: str) -> None:
         """End an outage whose end ``reader`` knows; its changes tell which registrations lapsed."""
-        if self._failing_since_ms is not None and self.confirmed_ms > self._failing_since_ms:
-            outage_ms = round(now_ms() - self._failing_since_ms)
-            self._failing_since_ms = None
-            self._on_event("store regained", outage_ms=outage_ms, source=reader)
+        event = self._availability.on_confirmation(confirmed_ms=self.confirmed_ms)
+        if event is StoreEvent.OUTAGE_ENDED:
+            self._log_regained(reader)
 
     def _record_success(self, confirmed_ms: float) -> None:
+        event = self._record_end(CallEnd.ANSWERED)
         self._confirm(confirmed_ms, source=OWN_CALL)
         self._response_timeout_ms = max(RESPONSE_TIMEOUT_MS, self._response_timeout_ms / 2.0)
-        if self._failing_since_ms is None:
-            return
-        outage_ms = now_ms() - self._failing_since_ms
-        self._failing_since_ms = None
-        # An unresponsive store is detected late: a short failure may be the end of a long outage.
-        self._start_reregistration()
-        self._on_event("store regained", outage_ms=round(outage_ms), source=OWN_CALL)
-
-    def _record_failure(self, error: ChangeSourceError) -> None:
-        self._response_timeout_ms = min(MAX_RESPONSE_TIMEOUT_MS, self._response_timeout_ms * 1.5)
-        if self._failing_since_ms is None:
-            self._failing_since_ms = now_ms()
+        if event is StoreEvent.OUTAGE_ENDED:
+            # An unresponsive store is detected late: a short failure may end a long outage.
+            self._start_reregistration()
+            self._log_regained(OWN_CALL)
+
+    def _record_failure(self, error: ChangeSourceError, elapsed_ms: float) -> None:
+        if self._record_end(error.end) is StoreEvent.OUTAGE_BEGAN:
             self._on_event("store lost", position=self.position, reason=str(error))
+        self._log_failed_call(error, elapsed_ms)
+
+    def _allow_longer_responses(self) -> None:
+        longer_ms = self._response_timeout_ms * 1.5
+        self._response_timeout_ms = min(MAX_RESPONSE_TIMEOUT_MS, longer_ms)
+
+    def _record_end(self, end: CallEnd) -> StoreEvent:
+        return self._availability.on_call(end, confirmed_ms=self.confirmed_ms, now_ms=now_ms())
+
+    def _is_in_doubt(self) -> bool:
+        return self._availability.state(now_ms=now_ms()) is StoreState.IN_DOUBT
+
+    def _log_regained(self, source: str) -> None:
+        outage_ms = round(now_ms() - self._availability.failing_since_ms)
+        self._on_event("store regained", outage_ms=outage_ms, source=source)
 
     def _log_failed_call(self, error: ChangeSourceError, elapsed_ms: float) -> None:
         self._on_event(
--- a/src/kingcupusher/_gateway/process.py
+++ b/src/kingcupusher/_gateway/process.py
@@ -122,6 +122,7 @@
             catalog,
             is_reader=lambda: self._reader_slot.is_held,
             on_event=self._gateway.on_event,
+            heartbeat_ms=settings.heartbeat_ms,
         )
         self._lead_server = LeadServer()
         self._lead_link = LeadLink(
--- a/src/kingcupusher/_gateway/settings.py
+++ b/src/kingcupusher/_gateway/settings.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from kingcupusher._core.address import Address
+from kingcupusher._discovery import DEFAULT_HEARTBEAT_MS
 from kingcupusher._gateway.fleet_limits import FleetLimits
 from kingcupusher._http.pipeline_limits import DEFAULT_CONNECTION_LIMIT, DEFAULT_MEMORY_BYTES
 
@@ -17,7 +18,8 @@
     all responses take in total, from their first byte until they are written.
     ``caller_memory_bytes`` bounds what all requests take, from their first byte until they end,
     and ``caller_connection_limit`` the open connections of callers. ``hedge_percent`` limits hedged
-    requests as a share of the requests of a service; 0 means that none is sent.
+    requests as a share of the requests of a service; 0 means that none is sent. Targets renew their
+    registration every ``heartbeat_ms``.
     """
 
     entry: str
@@ -34,3 +36,4 @@
     caller_memory_bytes: int = DEFAULT_MEMORY_BYTES
     caller_connection_limit: int = DEFAULT_CONNECTION_LIMIT
     hedge_percent: float = 0.0
+    heartbeat_ms: float = DEFAULT_HEARTBEAT_MS
--- a/src/kingcupusher/_http/simple_client.py
+++ b/src/kingcupusher/_http/simple_client.py
@@ -11,7 +11,7 @@
 
 from kingcupusher._core import now_ms
 from kingcupusher._core.address import Address
-from kingcupusher._http.errors import ConnectError, DeadlineError, ExchangeError
+from kingcupusher._http.errors import ConnectError, DeadlineError, ExchangeError, ResetError
 from kingcupusher._http.framing import MAX_INTERIM_RESPONSES, is_status_valid
 from kingcupusher._http.tcp import connect, enable_tcp_keepalive
 
@@ -46,7 +46,8 @@
 
     ``deadline_ms`` is on the monotonic clock. With ``tcp_keepalive``, a request to an unreachable
     peer fails within seconds, even a long poll.
-    Raises :class:`ConnectError` if nothing was sent, :class:`DeadlineError` or
+    Raises :class:`ConnectError` if nothing was sent, :class:`ResetError` if the peer ended the
+    connection before the first byte of a response, :class:`DeadlineError` or another
     :class:`ExchangeError` if the request may have taken effect.
     """
     sock = await _connect(address, deadline_ms)
@@ -105,6 +106,7 @@
             raise ConnectError(f"{method} {path} at {address} was not sent before the deadline")
         async with curio.timeout_after(_remaining_s(deadline_ms)):
             await sock.sendall(data)
+            connection.receive_data(await _receive_first(sock, f"{method} {path} at {address}"))
             return await _receive(sock, connection, max_body_bytes)
     except curio.TaskTimeout:
         raise DeadlineError(f"{method} {path} at {address} timed out") from None
@@ -112,6 +114,17 @@
         raise ExchangeError(f"{method} {path} at {address} failed: {error}") from error
 
 
+async def _receive_first(sock: curio.io.Socket, request: str) -> bytes:
+    """Return the first bytes of a response; raise :class:`ResetError` if there are none."""
+    try:
+        data: bytes = await sock.recv(RECEIVE_BYTES)
+    except OSError as error:
+        raise ResetError(f"{request} failed: {error}") from error
+    if not data:
+        raise ResetError(f"{request} failed: connection closed without a response")
+    return data
+
+
 async def _receive(
     sock: curio.io.Socket, connection: h11.Connection, max_body_bytes: int
 ) -> Response:
--- /dev/null
+++ b/testing/features/steps/store_availability_steps.py
@@ -0,0 +1,306 @@
+"""Steps for single calls to the store that fail, and for outages."""
+
+from __future__ import annotations
+
+import socket
+from functools import partial
+
+import curio
+from behave import given, then, when
+from hypothesis import strategies as st
+
+from kingcupusher._core import now_ms
+from kingcupusher._core.address import Address
+from kingcupusher._core.connection_server import serve_connections
+from kingcupusher._core.startup import listen
+from kingcupusher._discovery import (
+    CallEnd,
+    ChangeSourceError,
+    StorePosition,
+    TargetGone,
+    TargetRegistration,
+    TargetSeen,
+)
+from kingcupusher._discovery.store_availability import StoreAvailability, StoreEvent
+from kingcupusher_platform.store import StoreClient
+from standins.ports import free_address
+from standins.target.connection import RESET_ON_CLOSE
+from testing.properties import check_property
+
+HEARTBEAT_MS = 1_500.0
+END_BY_WORD = {
+    "answered": CallEnd.ANSWERED,
+    "cut": CallEnd.CUT_WHILE_WAITING,
+    "rate-limited": CallEnd.RATE_LIMITED,
+    "failed": CallEnd.FAILED,
+}
+EVENT_WORDS = {StoreEvent.OUTAGE_BEGAN: "a begin", StoreEvent.OUTAGE_ENDED: "an end"}
+WATCH_MS = 300.0
+TIMEOUT_MS = 200.0
+TARGET = TargetRegistration(
+    target_id="t0",
+    service="s",
+    address=Address("127.0.0.1", 1),
+    zone="z0",
+    slots=3,
+    is_draining=False,
+    cold_left_ms=0.0,
+    born_unix_ms=5,
+)
+
+
+# -- what the ends of calls show
+
+
+class _Calls:
+    """Records the ends of calls and what they show; an answer confirms the state."""
+
+    def __init__(self):
+        self.availability = StoreAvailability(heartbeat_ms=HEARTBEAT_MS)
+        self.confirmed_ms = 0.0
+        self.events = []
+
+    def end(self, at_ms, end):
+        event = self.availability.on_call(end, confirmed_ms=self.confirmed_ms, now_ms=at_ms)
+        if end is CallEnd.ANSWERED:
+            self.confirmed_ms = at_ms
+        self.events.append(event)
+        return event
+
+
+@when("calls to the store end as {ends}")
+def when_calls_end(context, ends):
+    context.calls = _Calls()
+    for row in ends.split(", "):
+        at_ms, word = row.split(" ")
+        context.calls.end(float(at_ms), END_BY_WORD[word])
+
+
+@when(
+    "a reader says that the store responded at {confirmed_ms:g} ms, and a call is answered at"
+    " {answered_ms:g} ms"
+)
+def when_confirmed(context, confirmed_ms, answered_ms):
+    event = context.calls.availability.on_confirmation(confirmed_ms=confirmed_ms)
+    context.calls.events.append(event)
+    context.calls.end(answered_ms, CallEnd.ANSWERED)
+
+
+@then("they show {events}")
+def then_events(context, events):
+    shown = [EVENT_WORDS[e] for e in context.calls.events if e is not StoreEvent.NOTHING]
+    assert (", ".join(shown) or "no outage") == events, shown
+
+
+@then(
+    "for every series of calls an answer after a longer time without one ends an outage or follows"
+    " a confirmation"
+)
+def then_no_outage_missed(context):
+    # Guards against registrations that lapsed in an outage and are dropped at once.
+    def prop(rows):
+        calls, at_ms, ends = _Calls(), 0.0, []
+        for wait_ms, end in rows:
+            at_ms += wait_ms
+            unconfirmed_ms = at_ms - calls.confirmed_ms
+            event = calls.end(at_ms, end)
+            if end is not CallEnd.ANSWERED:
+                ends.append(end)
+                continue
+            has_failed = CallEnd.FAILED in ends or (ends and unconfirmed_ms > HEARTBEAT_MS)
+            assert event is StoreEvent.OUTAGE_ENDED or not has_failed, (rows, event)
+            assert event is StoreEvent.NOTHING or ends, (rows, event)
+            ends = []
+
+    rows = st.lists(st.tuples(st.integers(1, 2_000), st.sampled_from(CallEnd)), max_size=12)
+    check_property(context, prop, rows=rows)
+
+
+# -- the client of the store
+
+
+async def _close(sock):
+    await sock.recv(65_536)
+
+
+async def _reset(sock):
+    await sock.recv(65_536)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
+async def _close_within_response(sock):
+    await sock.recv(65_536)
+    await sock.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 40\r\n\r\n{")
+
+
+async def _send_junk(sock):
+    await sock.recv(65_536)
+    await sock.sendall(b"\x00\x01 no response\r\n\r\n")
+
+
+async def _stay_silent(sock):
+    while await sock.recv(65_536):
+        pass
+
+
+async def _respond(status, sock):
+    await sock.recv(65_536)
+    await sock.sendall(b"HTTP/1.1 %d X\r\ncontent-length: 2\r\n\r\n{}" % status)
+
+
+BEHAVIOURS = {
+    "closes without a response": _close,
+    "resets without a response": _reset,
+    "closes within a response": _close_within_response,
+    "sends bytes that are no response": _send_junk,
+    "does not respond": _stay_silent,
+    "does not accept connections": None,
+    "responds with status 429": partial(_respond, 429),
+    "responds with status 503": partial(_respond, 503),
+}
+
+
+@given("a store that {behaviour}")
+def given_store(context, behaviour):
+    context.on_client = BEHAVIOURS[behaviour]
+
+
+async def _end_of(call):
+    try:
+        await call
+    except ChangeSourceError as error:
+        return error.end
+    return CallEnd.ANSWERED
+
+
+@then("a watch of 300 ms ends as {end}, and a full read as {read_end}")
+def then_ends(context, end, read_end):
+    # Guards against a call that is taken for more, or for less, than it shows.
+    async def main():
+        address = free_address()
+        if context.on_client is not None:
+            sock = listen(address, backlog=8)
+            await curio.spawn(serve_connections, sock, context.on_client, daemon=True)
+        client = StoreClient(address, on_problem=lambda *_args, **_fields: None)
+        watch = client.wait_for_changes(
+            after=StorePosition(0, 1), wait_ms=WATCH_MS, timeout_ms=TIMEOUT_MS
+        )
+        return await _end_of(watch), await _end_of(client.read_all(timeout_ms=TIMEOUT_MS))
+
+    assert curio.run(main) == (CallEnd(end), CallEnd(read_end))
+
+
+# -- entries that follow a store
+
+
+async def _nothing(cluster):
+    del cluster
+
+
+async def _cut(cluster):
+    cluster.store.cut_watches()
+
+
+async def _cut_twice(cluster):
+    cluster.store.cut_watches()
+    await curio.sleep(1.0)
+    cluster.store.cut_watches()
+
+
+async def _rate_limit(cluster):
+    cluster.store.cut_watches()
+    cluster.store.rate_limited_for = set(cluster.running)
+    await curio.sleep(0.05)
+    cluster.store.rate_limited_for = set()
+
+
+FAULTS = {
+    "nothing fails": _nothing,
+    "the waiting watches are cut": _cut,
+    "the waiting watches are cut twice in 1 s": _cut_twice,
+    "calls are rate-limited for 50 ms": _rate_limit,
+}
+
+
+@when("this happens after a target has registered: {fault}")
+def when_fault(context, fault):
+    async def step(cluster):
+        cluster.store.write("t0", TargetSeen(TARGET))
+        await curio.sleep(1.5)
+        assert all("t0" in cluster.members[name].catalog.targets for name in cluster.running)
+        await FAULTS[fault](cluster)
+
+    context.steps.append(step)
+
+
+@when("{delay_ms:d} ms pass until its registration is removed")
+def when_removed(context, delay_ms):
+    async def step(cluster):
+        await curio.sleep(delay_ms / 1000.0)
+        cluster.store.remove("t0", TargetGone("t0"))
+        cluster.removed_ms = now_ms()
+
+    context.steps.append(step)
+
+
+async def _fail(cluster):
+    cluster.store.unavailable_for = set(cluster.running)
+
+
+async def _hang(cluster):
+    cluster.store.unresponsive_for = set(cluster.running)
+
+
+async def _cut_and_fail(cluster):
+    cluster.store.cut_watches()
+    cluster.store.unavailable_for = set(cluster.running)
+
+
+OUTAGES = {
+    "is unavailable": _fail,
+    "does not respond": _hang,
+    "cuts the watches and then is unavailable": _cut_and_fail,
+}
+
+
+@when(
+    "a target registers, and the store {outage} for {outage_s:g} s, in which the registration"
+    " lapses for {absence_s:g} s more"
+)
+def when_outage(context, outage, outage_s, absence_s):
+    async def step(cluster):
+        cluster.store.write("t0", TargetSeen(TARGET))
+        await curio.sleep(1.5)
+        watcher = await curio.spawn(_record_absences, cluster, context, daemon=True)
+        await OUTAGES[outage](cluster)
+        await curio.sleep(outage_s)
+        cluster.store.remove("t0", TargetGone("t0"))
+        cluster.store.unavailable_for = set()
+        cluster.store.unresponsive_for = set()
+        await curio.sleep(absence_s)
+        cluster.store.write("t0", TargetSeen(TARGET))
+        await curio.sleep(3.0)
+        await watcher.cancel()
+
+    context.absent = set()
+    context.steps.append(step)
+
+
+async def _record_absences(cluster, context):
+    while True:
+        for name in cluster.running:
+            catalog = cluster.members[name].catalog
+            catalog.remove_lapsed_targets(now_ms=now_ms())
+            if not catalog.usable_targets("s"):
+                context.absent.add(name)
+        await curio.sleep(0.02)
+
+
+@then("no running entry was without the target at any time")
+def then_never_absent(context):
+    # Guards against targets that live but get no requests after an outage.
+    async def check(cluster):
+        del cluster
+        assert not context.absent, context.absent
+
+    context.steps.append(check)
--- a/testing/features/steps/users_platform_steps.py
+++ b/testing/features/steps/users_platform_steps.py
@@ -23,6 +23,7 @@
 SETTINGS = {
     "nodeName": "frontend-a-1",
     "zone": "a",
+    "heartbeatS": 0.8,
     "ipAddress": "10.1.0.34",
     "internalPortRange": [7540, 7555],
     "contractParams": [
@@ -119,6 +120,7 @@
     limits = settings.gateway.fleet_limits
     assert (limits.grace_period_ms, limits.retry_window_ms) == (6_000.0, 10_000.0)
     assert (limits.retry_slack, limits.probes_per_s, limits.cold_overshoot) == (58.0, 60.0, 1.5)
+    assert settings.gateway.heartbeat_ms == 800.0
     assert str(settings.store_address) == "10.200.1.7:8541"
     assert settings.gateway.relay_address != settings.gateway.metrics_address
     assert [str(seed) for seed in settings.gateway.seeds] == ["10.2.0.34:8544"]
--- /dev/null
+++ b/testing/features/store_availability.feature
@@ -0,0 +1,79 @@
+Feature: A call to the store that failed is not taken for an outage of the store
+  Guards against a target that left but is kept for the time in which lapsed registrations return.
+
+  Scenario Outline: Calls to the store, the last one confirmed at 0 ms, that end as <ends>
+    When calls to the store end as <ends>
+    Then they show <events>
+
+    Examples: one call that the store cut or refused, and an answer within a heartbeat interval of 1500 ms
+      | ends                                           | events    |
+      | 900 cut, 1000 answered                         | no outage |
+      | 900 rate-limited, 1000 answered                | no outage |
+      | 900 cut, 1500 answered                         | no outage |
+      | 900 cut, 950 answered, 1800 cut, 1900 answered | no outage |
+
+    Examples: what may be the end of an outage, or is one
+      | ends                                                             | events          |
+      | 900 cut, 1501 answered                                           | an end          |
+      | 1600 cut, 1610 answered                                          | an end          |
+      | 900 cut, 1000 cut                                                | a begin         |
+      | 900 cut, 1000 failed, 1100 answered                              | a begin, an end |
+      | 900 cut, 1000 rate-limited, 1100 answered                        | a begin, an end |
+      | 900 rate-limited, 1000 cut, 1100 answered                        | a begin, an end |
+      | 900 cut, 1600 failed, 1700 cut, 1800 rate-limited, 1900 answered | a begin, an end |
+      | 900 failed, 1000 answered                                        | a begin, an end |
+      | 900 failed, 1000 failed, 9000 answered                           | a begin, an end |
+
+  Scenario Outline: What another entry confirms ends an outage or a doubt
+    When calls to the store end as <ends>
+    And a reader says that the store responded at <confirmed_ms> ms, and a call is answered at 1200 ms
+    Then they show <events>
+
+    Examples:
+      | ends       | confirmed_ms | events          |
+      | 900 cut    | 1000         | no outage       |
+      | 900 failed | 1000         | a begin, an end |
+      | 900 failed | 800          | a begin, an end |
+
+  Scenario: No outage that is longer than a heartbeat interval is missed
+    Then for every series of calls an answer after a longer time without one ends an outage or follows a confirmation
+
+  Scenario Outline: The client of the store tells how a call ended
+    Given a store that <behaviour>
+    Then a watch of 300 ms ends as <end>, and a full read as <read_end>
+
+    Examples:
+      | behaviour                        | end               | read_end     |
+      | closes without a response        | cut while waiting | failed       |
+      | resets without a response        | cut while waiting | failed       |
+      | closes within a response         | failed            | failed       |
+      | sends bytes that are no response | failed            | failed       |
+      | does not respond                 | failed            | failed       |
+      | does not accept connections      | failed            | failed       |
+      | responds with status 429         | rate-limited      | rate-limited |
+      | responds with status 503         | failed            | failed       |
+
+  Scenario Outline: A target that leaves after <fault> gets no requests after the drain time of 2 s
+    Given 6 entries in 3 zones that follow a store
+    When this happens after a target has registered: <fault>
+    And 250 ms pass until its registration is removed
+    Then every running entry is without the target within 1 s
+    And the steps pass when they are run
+
+    Examples:
+      | fault                                    |
+      | nothing fails                            |
+      | the waiting watches are cut              |
+      | the waiting watches are cut twice in 1 s |
+      | calls are rate-limited for 50 ms         |
+
+  Scenario Outline: A target whose registration lapsed in an outage stays usable until it registers again, <detail>
+    Given 6 entries in 3 zones that follow a store
+    When a target registers, and the store <outage> for 4 s, in which the registration lapses for 1.5 s more
+    Then no running entry was without the target at any time
+    And the steps pass when they are run
+
+    Examples:
+      | detail                          | outage                                   |
+      | when calls hang                 | does not respond                         |
+      | when the watches are cut first  | cuts the watches and then is unavailable |
--- a/testing/gateway/store.py
+++ b/testing/gateway/store.py
@@ -12,12 +12,14 @@
     ChangeBatch,
     ChangeSourceError,
     HistoryGoneError,
+    RateLimitedError,
     ReaderGone,
     ReaderSeen,
     RolloutOrder,
     RolloutOrdered,
     RolloutPhaseSeen,
     StorePosition,
+    WaitCutError,
 )
 
 STALE_READ_PRICE = 0.1
@@ -41,6 +43,8 @@
         self.watching_entries = set()
         self.stale_batch = None
         self.loses_responses = False
+        self.cut_count = 0
+        self.rate_limited_for = set()
 
     def write(self, key, change):
         """Write ``change`` under ``key``."""
@@ -94,6 +98,10 @@
         self.oldest_revision = self.revision
         self.events = []
 
+    def cut_watches(self):
+        """End the watches that wait, without a response."""
+        self.cut_count += 1
+
     def client(self, entry):
         """Return the client of one entry."""
         return FakeStoreClient(self, entry)
@@ -112,6 +120,8 @@
         if self.entry in self.store.unresponsive_for:
             await curio.sleep(timeout_ms / 1000.0)
             raise ChangeSourceError("the store does not respond")
+        if self.entry in self.store.rate_limited_for:
+            raise RateLimitedError("too many calls")
         if self.entry in self.store.unavailable_for:
             raise ChangeSourceError("the store is unavailable")
 
@@ -134,8 +144,11 @@
         end_ms = now_ms() + wait_ms
         self.store.watching_entries.add(self.entry)
         await self._call(wait_ms + timeout_ms)
+        cut_count = self.store.cut_count
         while self.store.position == after and now_ms() < end_ms:
             await curio.sleep(0.005)
+            if self.store.cut_count > cut_count:
+                raise WaitCutError("the store ended the wait")
             if self.entry in self.store.unresponsive_for:
                 await curio.sleep(timeout_ms / 1000.0)
                 raise ChangeSourceError("the store does not respond")
