Notice an outage that begins behind a reader's confirmation

Callers would see: no response from targets that are well, for the second or two until they have registered again after an outage.

Cause: another reader's confirmation ended the outage of an entry, and the probes that failed later told nothing to its state. At the end of the real outage it knew of none and dropped registrations that had only lapsed.

Change: a failed probe is the end of a call like others, so it begins the outage again.

--- a/src/kingcupusher/_discovery/follower.py
+++ b/src/kingcupusher/_discovery/follower.py
@@ -96,7 +96,7 @@
         self._on_event = on_event
         self._availability = StoreAvailability(heartbeat_ms=heartbeat_ms)
         self._response_timeout_ms = RESPONSE_TIMEOUT_MS
-        self._probes = StoreProbes(source, on_failure=self._log_failed_call)
+        self._probes = StoreProbes(source, on_failure=self._record_failure)
         self._heard_ms = 0.0
         self._history = ChangeHistory(NO_POSITION)
         self._reregistration_until_ms = 0.0
--- a/testing/features/store_availability.feature
+++ b/testing/features/store_availability.feature
@@ -75,5 +75,6 @@
 
     Examples:
       | detail                          | outage                                   |
+      | when calls fail                 | is unavailable                           |
       | when calls hang                 | does not respond                         |
       | when the watches are cut first  | cuts the watches and then is unavailable |
