Tell other entries when the time after an outage ends

Callers would see: requests to a target that left, some tenths of a second later than drainS, if it left 3 s after an outage and another change came just before.

Cause: StoreReturned had no time. Each change in the 2.2 s after an outage was sent with it, and started these 2.2 s again at each subscriber.

Evidence: with a change 2.2 s after the return of the store, entries in one process still have the target 1 s after a departure at 3 s; without the change none has.

Change: StoreReturned states the time that is left. It is added when an update is sent, and not kept in the history. Entries of an older release ignore the field.

Test: store_availability.feature, "What other entries learn of an outage ends with it"; the row "with a change at its end" failed before. The rows on registrations that lapsed in a real outage still pass.

--- a/src/kingcupusher/_discovery/catalog.py
+++ b/src/kingcupusher/_discovery/catalog.py
@@ -13,6 +13,7 @@
     ReaderGone,
     ReaderSeen,
     RoutesPublished,
+    StoreReturned,
     TargetGone,
     TargetSeen,
     ZoneReturned,
@@ -33,10 +34,6 @@
 from kingcupusher._limits.announcements import TargetAnnouncements
 from kingcupusher._limits.crash_quarantine import CrashQuarantine
 
-REREGISTRATION_GRACE_MS = 2_200.0
-"""Registrations that lapsed during a store outage are renewed within 2 s of its end."""
-
-
 _CHANGE_HANDLERS: Registry[Callable[[Catalog, Change, float], None]] = Registry("change")
 
 
@@ -153,6 +150,10 @@
         """Return whether ``target`` was not replaced and may still get requests."""
         return self.targets.get(target.target_id) is target and self._accepts_requests(target)
 
+    def grace_left_ms(self, *, now_ms: float) -> float:
+        """Return for how long registrations that lapsed in an outage may still be renewed."""
+        return max(0.0, self._grace_end_ms - now_ms)
+
     def snapshot(self) -> list[Change]:
         """Return the full state as changes, for an entry without any state."""
         changes: list[Change] = (
@@ -289,8 +290,9 @@
         self.rollout_states.apply(change, now_ms=now_ms)
 
     @_CHANGE_HANDLERS.register("StoreReturned")
-    def _on_store_return(self, change: Change, now_ms: float) -> None:  # noqa: ARG002
-        self._grace_end_ms = now_ms + REREGISTRATION_GRACE_MS
+    def _on_store_return(self, change: Change, now_ms: float) -> None:
+        assert isinstance(change, StoreReturned)
+        self._grace_end_ms = max(self._grace_end_ms, now_ms + change.grace_left_ms)
 
 
 def _is_same_process(known: TargetRegistration, record: TargetRegistration) -> bool:
--- a/src/kingcupusher/_discovery/changes.py
+++ b/src/kingcupusher/_discovery/changes.py
@@ -57,8 +57,18 @@
     slot: int
 
 
+REREGISTRATION_GRACE_MS = 2_200.0
+"""Registrations that lapsed during a store outage are renewed within 2 s of its end."""
+
+
 class StoreReturned(Struct, frozen=True, tag=True):
-    """The store responds again after an outage in which registrations may have lapsed."""
+    """The store responds again after an outage in which registrations may have lapsed.
+
+    They may be renewed for ``grace_left_ms`` from now. It is a duration, since entries have no
+    common clock; a receiver converts it to a deadline at once.
+    """
+
+    grace_left_ms: float = REREGISTRATION_GRACE_MS
 
 
 class CrashSeen(Struct, frozen=True, tag=True):
--- a/src/kingcupusher/_discovery/follower.py
+++ b/src/kingcupusher/_discovery/follower.py
@@ -8,11 +8,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from math import ceil
 
 import curio
 
 from kingcupusher._core import now_ms
-from kingcupusher._discovery.catalog import REREGISTRATION_GRACE_MS, Catalog
+from kingcupusher._discovery.catalog import Catalog
 from kingcupusher._discovery.change_history import ChangeHistory
 from kingcupusher._discovery.change_source import (
     CallEnd,
@@ -22,7 +23,7 @@
     HistoryGoneError,
     Update,
 )
-from kingcupusher._discovery.changes import Change, StoreReturned
+from kingcupusher._discovery.changes import StoreReturned
 from kingcupusher._discovery.position import NO_POSITION, StorePosition
 from kingcupusher._discovery.store_availability import (
     DEFAULT_HEARTBEAT_MS,
@@ -56,6 +57,7 @@
 READER_SEARCH_MS = 2_000.0
 """An entry that has just started looks for a reader for this time before it watches the store,
 which costs ten times as much as a stale read. Changes are due 3 s after its start."""
+GRACE_STEP_MS = 100.0
 OWN_CALL = "store"
 """Source of a confirmation that no reader relayed."""
 
@@ -71,7 +73,6 @@
         "_is_reader",
         "_must_read_all",
         "_on_event",
-        "_reregistration_until_ms",
         "_probes",
         "_response_timeout_ms",
         "_search_until_ms",
@@ -99,7 +100,6 @@
         self._probes = StoreProbes(source, on_failure=self._record_failure)
         self._heard_ms = 0.0
         self._history = ChangeHistory(NO_POSITION)
-        self._reregistration_until_ms = 0.0
         self._must_read_all = False
         self._search_until_ms = 0.0
         self.position: StorePosition | None = None
@@ -161,8 +161,7 @@
         # An empty response confirms the state until at least the end of the wait.
         self._record_success(now_ms() if batch.changes else sent_ms + wait_ms)
         if batch.position > self.position:
-            changes = self._with_store_returned(batch.changes)
-            await self._apply_update(Update(changes, batch.position, is_full=False))
+            await self._apply_update(Update(batch.changes, batch.position, is_full=False))
         # Subscribers need this confirmation before their last one expires.
         await self.updated.set()
         if batch.changes:
@@ -210,15 +209,21 @@
         if self.position is None or not self.lacks_update(position):
             return None
         changes = None if position is None else self._history.after(position)
+        is_full = changes is None
         if changes is None:
-            return Update(self._catalog.snapshot(), self.position, is_full=True)
-        return Update(changes, self.position, is_full=False)
+            changes = self._catalog.snapshot()
+        grace_left_ms = self.grace_left_ms
+        if grace_left_ms > 0.0:
+            changes = [StoreReturned(grace_left_ms), *changes]
+        return Update(changes, self.position, is_full=is_full)
 
-    # -- details
+    @property
+    def grace_left_ms(self) -> float:
+        """How long lapsed registrations may still be renewed, rounded up for common updates."""
+        left_ms = self._catalog.grace_left_ms(now_ms=now_ms())
+        return ceil(left_ms / GRACE_STEP_MS) * GRACE_STEP_MS
 
-    def _with_store_returned(self, changes: list[Change]) -> list[Change]:
-        """Prepend ``StoreReturned`` after an outage: removed registrations may only have lapsed."""
-        return [StoreReturned(), *changes] if now_ms() < self._reregistration_until_ms else changes
+    # -- details
 
     async def _apply_update(self, update: Update) -> None:
         self._check_restoration(update.position)
@@ -242,7 +247,6 @@
     def _start_reregistration(self) -> None:
         """Expect targets to register again: removed registrations may only have lapsed."""
         self._catalog.apply([StoreReturned()], now_ms=now_ms())
-        self._reregistration_until_ms = now_ms() + REREGISTRATION_GRACE_MS
 
     def _confirm(self, confirmed_ms: float, *, source: str) -> None:
         """Log which source confirmed the state after a time without a confirmation."""
--- a/src/kingcupusher/_relay/server.py
+++ b/src/kingcupusher/_relay/server.py
@@ -161,12 +161,13 @@
         if position is None or not self._follower.lacks_update(before):
             return None
         subscriber.position = position
-        encoded = self._cached_updates.get((before, position))
+        key = (before, position, self._follower.grace_left_ms)
+        encoded = self._cached_updates.get(key)
         if encoded is None:
             update = self._follower.update_after(before)
             assert update is not None
             encoded = encode_message(CatalogUpdate(position, update.is_full, update.changes))
-            self._cached_updates.put((before, position), encoded)
+            self._cached_updates.put(key, encoded)
         return encoded
 
     def _encoded_list_change(self, subscriber: _Subscriber) -> bytes | None:
--- a/src/kingcupusher/_relay/update_cache.py
+++ b/src/kingcupusher/_relay/update_cache.py
@@ -7,8 +7,9 @@
 MAX_UPDATES = 8
 MAX_CACHED_BYTES = 1_048_576
 
-UpdateKey = tuple[StorePosition | None, StorePosition]
-"""Positions before and after an update; the first is None for a full snapshot."""
+UpdateKey = tuple[StorePosition | None, StorePosition, float]
+"""Positions before and after an update, and for how long lapsed registrations may be renewed; the
+first is None for a full snapshot."""
 
 
 class UpdateCache:
--- a/testing/features/steps/memory_limit_steps.py
+++ b/testing/features/steps/memory_limit_steps.py
@@ -28,7 +28,7 @@
         self.cache = UpdateCache()
 
     def repeat(self, number):
-        key = (StorePosition(1, number), StorePosition(1, number + 1))
+        key = (StorePosition(1, number), StorePosition(1, number + 1), 0.0)
         self.cache.put(key, bytes(UPDATE_BYTES))
         assert self.cache.get(key) is not None
 
@@ -85,7 +85,7 @@
     # Guards against a large update that is encoded again for each of many subscribers.
     del context
     cache = UpdateCache()
-    first, second = (None, StorePosition(1, 1)), (None, StorePosition(1, 2))
+    first, second = (None, StorePosition(1, 1), 0.0), (None, StorePosition(1, 2), 0.0)
     cache.put(first, bytes(size_mb * 1_000_000))
     assert cache.get(first) is not None
     cache.put(second, b"small")
--- a/testing/features/steps/store_availability_steps.py
+++ b/testing/features/steps/store_availability_steps.py
@@ -20,6 +20,7 @@
     TargetGone,
     TargetRegistration,
     TargetSeen,
+    ZoneTakenOut,
 )
 from kingcupusher._discovery.store_availability import StoreAvailability, StoreEvent
 from kingcupusher_platform.store import StoreClient
@@ -286,6 +287,41 @@
     context.steps.append(step)
 
 
+async def _take_zone_out(cluster):
+    cluster.store.write("zone", ZoneTakenOut("elsewhere"))
+
+
+CHANGES = {"nothing changes": _nothing, "a zone is taken out": _take_zone_out}
+
+
+@when(
+    "a target registers, and the store is unavailable for {outage_s:g} s, and {change}"
+    " {delay_s:g} s after its return"
+)
+def when_change_after_outage(context, outage_s, change, delay_s):
+    async def step(cluster):
+        cluster.store.write("t0", TargetSeen(TARGET))
+        await curio.sleep(1.5)
+        await _cut_and_fail(cluster)
+        await curio.sleep(outage_s)
+        cluster.store.unavailable_for = set()
+        cluster.returned_ms = now_ms()
+        await curio.sleep(delay_s)
+        await CHANGES[change](cluster)
+
+    context.steps.append(step)
+
+
+@when("{delay_s:g} s after the return its registration is removed")
+def when_removed_after_return(context, delay_s):
+    async def step(cluster):
+        await curio.sleep((cluster.returned_ms - now_ms()) / 1000.0 + delay_s)
+        cluster.store.remove("t0", TargetGone("t0"))
+        cluster.removed_ms = now_ms()
+
+    context.steps.append(step)
+
+
 async def _record_absences(cluster, context):
     while True:
         for name in cluster.running:
--- a/testing/features/store_availability.feature
+++ b/testing/features/store_availability.feature
@@ -78,3 +78,17 @@
       | when calls fail                 | is unavailable                           |
       | when calls hang                 | does not respond                         |
       | when the watches are cut first  | cuts the watches and then is unavailable |
+
+  Scenario Outline: What other entries learn of an outage ends with it, <detail>
+    Guards against entries that keep a target which left because they were told of an outage late, or of no end.
+    Given 6 entries in 3 zones that follow a store
+    When a target registers, and the store is unavailable for 4 s, and <change> <delay_s> s after its return
+    And 3 s after the return its registration is removed
+    Then every running entry is without the target within 1 s
+    And the steps pass when they are run
+
+    Examples:
+      | detail                            | change               | delay_s |
+      | without other changes             | nothing changes      | 0       |
+      | with a change soon after it       | a zone is taken out  | 0.5     |
+      | with a change at its end          | a zone is taken out  | 2.2     |
