--- a/src/kingcupusher/_discovery/catalog.py
+++ b/src/kingcupusher/_discovery/catalog.py
@@ -155,11 +155,17 @@
         return max(0.0, self._grace_end_ms - now_ms)
 
     def snapshot(self) -> list[Change]:
-        """Return the full state as changes, for an entry without any state."""
+        """Return the full state as changes, for an entry without any state.
+
+        A target whose registration lapsed is both seen and gone, so that the other entry keeps it
+        only if it also gets ``StoreReturned``, and for as long as that states.
+        """
         changes: list[Change] = (
             [] if self.route_table is None else [RoutesPublished(self.route_table)]
         )
         changes += [TargetSeen(target.record) for target in self.targets.values()]
+        lapsed = [target for target in self.targets.values() if target.removal_ms is not None]
+        changes += [TargetGone(target.target_id) for target in lapsed]
         changes += [ZoneTakenOut(zone) for zone in sorted(self.zones_out)]
         changes += [CrashSeen(fingerprint, t) for fingerprint, t in self.crashes.snapshot()]
         return changes + self.rollout_states.snapshot() + list(self.readers.values())
--- a/testing/features/steps/store_availability_steps.py
+++ b/testing/features/steps/store_availability_steps.py
@@ -15,17 +15,23 @@
 from kingcupusher._core.startup import listen
 from kingcupusher._discovery import (
     CallEnd,
+    Catalog,
     ChangeSourceError,
+    RoutesPublished,
+    StoreFollower,
     StorePosition,
+    StoreReturned,
     TargetGone,
     TargetRegistration,
     TargetSeen,
+    Update,
     ZoneTakenOut,
 )
 from kingcupusher._discovery.store_availability import StoreAvailability, StoreEvent
 from kingcupusher_platform.store import StoreClient
 from standins.ports import free_address
 from standins.target.connection import RESET_ON_CLOSE
+from testing.gateway.fixture import route_table
 from testing.properties import check_property
 
 HEARTBEAT_MS = 1_500.0
@@ -38,6 +44,8 @@
 EVENT_WORDS = {StoreEvent.OUTAGE_BEGAN: "a begin", StoreEvent.OUTAGE_ENDED: "an end"}
 WATCH_MS = 300.0
 TIMEOUT_MS = 200.0
+TOLERANCE_MS = 150.0
+"""Remaining times are rounded to steps of 100 ms."""
 TARGET = TargetRegistration(
     target_id="t0",
     service="s",
@@ -340,3 +348,39 @@
         assert not context.absent, context.absent
 
     context.steps.append(check)
+
+
+# -- snapshots
+
+
+def _follower(catalog):
+    return StoreFollower(
+        None, catalog, is_reader=lambda: False, on_event=lambda *_args, **_fields: None
+    )
+
+
+@given("a catalog whose target lapsed {elapsed_ms:g} ms ago, after an outage")
+def given_lapsed(context, elapsed_ms):
+    catalog = Catalog()
+    context.follower = _follower(catalog)
+    first = [RoutesPublished(route_table()), TargetSeen(TARGET)]
+    curio.run(context.follower.on_update, Update(first, StorePosition(1, 1), is_full=True))
+    catalog.apply([StoreReturned(), TargetGone("t0")], now_ms=now_ms() - elapsed_ms)
+
+
+@when("an entry without any state gets its snapshot")
+def when_snapshot(context):
+    context.catalog = Catalog()
+    update = context.follower.update_after(None)
+    context.received_ms = now_ms()
+    curio.run(_follower(context.catalog).on_update, update)
+
+
+@then("it has the target for {left_ms:g} ms more")
+def then_has_target(context, left_ms):
+    # Guards against an entry that keeps a target for good, since it never learns of its removal.
+    catalog = context.catalog
+    catalog.remove_lapsed_targets(now_ms=context.received_ms + left_ms - TOLERANCE_MS)
+    assert bool(catalog.usable_targets("s")) is (left_ms > 0.0), left_ms
+    catalog.remove_lapsed_targets(now_ms=context.received_ms + left_ms + TOLERANCE_MS)
+    assert not catalog.usable_targets("s"), left_ms
--- a/testing/features/store_availability.feature
+++ b/testing/features/store_availability.feature
@@ -92,3 +92,15 @@
       | without other changes             | nothing changes      | 0       |
       | with a change soon after it       | a zone is taken out  | 0.5     |
       | with a change at its end          | a zone is taken out  | 2.2     |
+
+  Scenario Outline: An entry that starts while registrations may return keeps those that lapsed for the time that is left
+    Given a catalog whose target lapsed <elapsed_ms> ms ago, after an outage
+    When an entry without any state gets its snapshot
+    Then it has the target for <left_ms> ms more
+
+    Examples:
+      | elapsed_ms | left_ms |
+      | 0          | 2200    |
+      | 1500       | 700     |
+      | 2200       | 0       |
+      | 2400       | 0       |
