Keep a complete response while its result is recorded

Cause: the exchange noted a success only after it had told the wait queue, the estimates and the store of it. A deadline that passed in one of these waits lost the response, and the caller got 504.

Change: RequestOutcome gets the result first and keeps the success, in place of a field of the exchange.

--- a/src/kingcupusher/_gateway/exchange.py
+++ b/src/kingcupusher/_gateway/exchange.py
@@ -52,7 +52,6 @@
         "_request_id",
         "_rules",
         "_route",
-        "_winning_response",
         "_attempts",
         "_search",
         "_service",
@@ -75,7 +74,6 @@
         self._attempts: list[Attempt] = []
         self._hedger: Hedger | None = None
         self._in_flight = ConcurrentAttempts()
-        self._winning_response: BufferedResponse | None = None
         self._token = RequestToken(gateway)
 
     async def run(self) -> None:
@@ -120,12 +118,12 @@
                 with self._gateway.drain.interrupting(task):
                     return await self._serve()
         except DeadlineError:
-            if self._winning_response is not None:
-                return self._winning_response
-            ready = await self._in_flight.take_completed_success()
-            if ready is not None and ready.response is not None:
-                await self._record_result(ready)
-                return ready.response
+            if self._outcome.success is None:
+                ready = await self._in_flight.take_completed_success()
+                if ready is not None:
+                    await self._record_result(ready)
+            if self._outcome.success is not None:
+                return self._outcome.success
             for attempt in self._in_flight.running:
                 attempt.penalize_target()
             self._end_attempts(AttemptOutcome.UNANSWERED, DEADLINE_REASON)
@@ -182,13 +180,11 @@
                     await hedger.check()
                     continue
                 await self._record_result(result)
-                if result.outcome is AttemptOutcome.SUCCESS and result.response is not None:
-                    # The deadline may pass while the other attempts are logged and cancelled.
-                    self._winning_response = result.response
+                if result.outcome is AttemptOutcome.SUCCESS:
                     self._end_attempts(
                         AttemptOutcome.SUPERSEDED, "another target answered first", winner=result
                     )
-                    return result.response
+                    return self._outcome.success
         finally:
             if hedger is not None:
                 await hedger.cancel()
@@ -231,6 +227,8 @@
 
     async def _record_result(self, result: AttemptResult) -> None:
         assert self._service is not None and self._route is not None
+        # The deadline may pass during one of the following waits.
+        self._outcome.on_result(result)
         await self._gateway.wait_queue(self._service.name).notify_capacity()
         if result.outcome is AttemptOutcome.SUCCESS:
             attempt = result.attempt
@@ -240,7 +238,6 @@
                 self._hedger.on_success(attempt, cost=cost, typical_ms=estimate.typical_ms)
             estimate.on_response(elapsed_ms=attempt.ended_ms - attempt.sent_ms, cost=cost)
         await self._gateway.learn_from(result, request_id=self._request_id)
-        self._outcome.on_result(result)
         self._gateway.rollout_traffic.on_result(self._route.name, result)
         self._log.record_attempt(result)
 
--- a/src/kingcupusher/_gateway/request_outcome.py
+++ b/src/kingcupusher/_gateway/request_outcome.py
@@ -19,13 +19,19 @@
     A request may have run at each target that got it and did not state that it has not run it.
     """
 
-    __slots__ = ("_failure", "_possibly_executed_by", "_unknown")
+    __slots__ = ("_failure", "_possibly_executed_by", "_success", "_unknown")
 
     def __init__(self) -> None:
         self._failure: BufferedResponse | None = None
         self._possibly_executed_by: set[str] = set()
+        self._success: BufferedResponse | None = None
         self._unknown = INCOMPLETE_RESPONSE
 
+    @property
+    def success(self) -> BufferedResponse | None:
+        """The first successful response, None without one."""
+        return self._success
+
     @property
     def may_have_run(self) -> bool:
         """Whether a target may have run the request."""
@@ -44,6 +50,8 @@
         """Record the result of an attempt."""
         if result.outcome is AttemptOutcome.NOT_RUN:
             self._possibly_executed_by.discard(result.attempt.probed.target.target_id)
+        elif result.outcome is AttemptOutcome.SUCCESS:
+            self._success = self._success or result.response
         elif result.outcome is AttemptOutcome.FAILURE:
             self._failure = result.response
         elif result.outcome is AttemptOutcome.UNPROVEN_REFUSAL:
