Split the catalog, the rollouts and the follower where they had grown large

Change: RouteIndex finds the route and service of a request, RolloutCase is a module of its own, the intervals of probes stand with the probes, and the follower states its own gauges. No behaviour changes.

--- a/src/kingcupusher/_discovery/catalog.py
+++ b/src/kingcupusher/_discovery/catalog.py
@@ -29,8 +29,8 @@
     TargetRegistration,
 )
 from kingcupusher._discovery.rollout_states import RolloutStates
+from kingcupusher._discovery.route_index import RouteIndex
 from kingcupusher._discovery.target import Target
-from kingcupusher._discovery.weighted_round_robin import WeightedRoundRobin
 from kingcupusher._limits.announcements import TargetAnnouncements
 from kingcupusher._limits.crash_quarantine import CrashQuarantine
 
@@ -41,10 +41,9 @@
     """Applies changes and returns the routes and targets that may be used."""
 
     __slots__ = (
-        "_by_host",
         "_customers_by_digest",
         "_grace_end_ms",
-        "_round_robins",
+        "_route_index",
         "announcements",
         "crashes",
         "listeners",
@@ -61,7 +60,6 @@
         self.targets: dict[str, Target] = {}
         self.zones_out: set[str] = set()
         self.listeners: list[Callable[[str, dict[str, object]], None]] = []
-        self._by_host: dict[bytes, list[Route]] = {}
         self._customers_by_digest: dict[bytes, Customer] = {}
         self.readers: dict[int, ReaderSeen] = {}
         self.live_entries = LiveEntries()
@@ -69,7 +67,7 @@
         self.crashes = CrashQuarantine()
         self.rollout_states = RolloutStates(self._notify_listeners, self.registered_versions)
         self._grace_end_ms = 0.0
-        self._round_robins: dict[tuple[str, tuple[object, ...]], WeightedRoundRobin] = {}
+        self._route_index = RouteIndex()
 
     # -- changes
 
@@ -108,10 +106,7 @@
 
     def route_for(self, host: bytes, path: bytes) -> Route | None:
         """Return the route with the longest prefix of ``path`` among those of ``host``."""
-        for route in self._by_host.get(host, ()):
-            if path.startswith(route.prefix):
-                return route
-        return None
+        return self._route_index.find(host, path)
 
     @property
     def has_customers(self) -> bool:
@@ -126,11 +121,7 @@
         """Return the service for the next request of ``route``, by weighted round robin."""
         if self.route_table is None:
             return None
-        key = (route.name, route.parts)
-        round_robin = self._round_robins.get(key)
-        if round_robin is None:
-            round_robin = self._round_robins[key] = WeightedRoundRobin(route.parts)
-        return self.route_table.services.get(round_robin.next_service())
+        return self.route_table.services.get(self._route_index.next_service(route))
 
     def registered_versions(self, service: str) -> frozenset[str]:
         """Return the versions that the registered targets of ``service`` run, usable or not."""
@@ -193,13 +184,7 @@
             return
         before = self.route_table.version if self.route_table else None
         self.route_table = table
-        splits = {(route.name, route.parts) for route in table.routes}
-        self._round_robins = {
-            key: round_robin for key, round_robin in self._round_robins.items() if key in splits
-        }
-        self._by_host = {}
-        for route in sorted(table.routes, key=lambda route: -len(route.prefix)):
-            self._by_host.setdefault(route.host, []).append(route)
+        self._route_index.replace(table)
         self._customers_by_digest = {
             digest: customer for customer in table.customers for digest in customer.key_digests
         }
--- a/src/kingcupusher/_discovery/follower.py
+++ b/src/kingcupusher/_discovery/follower.py
@@ -31,7 +31,7 @@
     StoreEvent,
     StoreState,
 )
-from kingcupusher._discovery.store_probes import StoreProbes
+from kingcupusher._discovery.store_probes import StoreProbes, probe_interval_ms
 
 WATCH_WAIT_MS = 1_000.0
 """A reader confirms the state at least this often."""
@@ -44,11 +44,6 @@
 for long, since a state must be current 3 s after the end of an outage."""
 BATCH_PAUSE_MS = 400.0
 """Pause after changes, to get the following ones in one call. A change is due within 2 s."""
-READER_PROBE_INTERVAL_MS = 500.0
-PROBE_INTERVAL_MS = 800.0
-LINKED_PROBE_INTERVAL_MS = 1_600.0
-"""Intervals of the probes during an outage. An entry that gets messages of another entry expects to
-learn of the end from it, but cannot know whether that entry still reads the store."""
 READER_SILENCE_MS = 1_500.0
 """A reader sends a message at least every 1.2 s."""
 CHECK_INTERVAL_S = 0.1
@@ -137,10 +132,8 @@
         return now_ms() - self.confirmed_ms > MAX_CONFIRMATION_AGE_MS
 
     def _probe_interval_ms(self) -> float:
-        if self._is_reader():
-            return READER_PROBE_INTERVAL_MS
         is_linked = now_ms() - self._heard_ms < READER_SILENCE_MS
-        return LINKED_PROBE_INTERVAL_MS if is_linked else PROBE_INTERVAL_MS
+        return probe_interval_ms(is_reader=self._is_reader(), is_linked=is_linked)
 
     async def _read(self) -> None:
         sent_ms = now_ms()
@@ -178,10 +171,15 @@
         self._record_success(confirmed_ms)
         await self._apply_update(Update(batch.changes, batch.position, is_full=True))
 
-    @property
-    def history_bytes(self) -> int:
-        """Memory that the recent changes take which are kept for other entries."""
-        return self._history.size_bytes
+    def gauges(self) -> dict[str, float]:
+        """Return the age and position of the state, and the memory of the recent changes."""
+        position = self.position or NO_POSITION
+        return {
+            "news_age_ms": now_ms() - self.confirmed_ms,
+            "change_history_bytes": self._history.size_bytes,
+            "store_restorations": position.restorations,
+            "store_revision": position.revision,
+        }
 
     # -- updates from readers
 
--- a/src/kingcupusher/_discovery/store_probes.py
+++ b/src/kingcupusher/_discovery/store_probes.py
@@ -9,10 +9,22 @@
 from kingcupusher._core import now_ms
 from kingcupusher._discovery.change_source import ChangeSource, ChangeSourceError
 
+READER_PROBE_INTERVAL_MS = 500.0
+PROBE_INTERVAL_MS = 800.0
+LINKED_PROBE_INTERVAL_MS = 1_600.0
+"""Intervals of the probes during an outage. An entry that gets messages of another entry expects to
+learn of the end from it, but cannot know whether that entry still reads the store."""
 PROBE_TIMEOUT_MS = 4_000.0
 CHECK_INTERVAL_S = 0.1
 
 
+def probe_interval_ms(*, is_reader: bool, is_linked: bool) -> float:
+    """Return the interval of the probes of an entry that is a reader, or linked to one."""
+    if is_reader:
+        return READER_PROBE_INTERVAL_MS
+    return LINKED_PROBE_INTERVAL_MS if is_linked else PROBE_INTERVAL_MS
+
+
 class StoreProbes:
     """Sends probes at intervals until one is answered.
 
--- a/src/kingcupusher/_gateway/process.py
+++ b/src/kingcupusher/_gateway/process.py
@@ -12,7 +12,7 @@
 
 from kingcupusher._core import now_ms
 from kingcupusher._core.signal_event import SignalEvent
-from kingcupusher._discovery import NO_POSITION, Catalog, StoreFollower
+from kingcupusher._discovery import Catalog, StoreFollower
 from kingcupusher._gateway.customer_quotas import CustomerQuotas
 from kingcupusher._gateway.exchange import Exchange
 from kingcupusher._gateway.header_codec import HeaderCodec
@@ -42,7 +42,6 @@
 TASK_RESTART_DELAY_S = 0.5
 MAX_TRACEBACK_CHARS = 2_000
 
-
 SettingsLoader = Callable[[], GatewaySettings]
 
 
@@ -261,25 +260,23 @@
 
     def _gauges(self) -> dict[tuple[str, Labels], float]:
         current_ms = now_ms()
-        position = self._follower.position or NO_POSITION
         return (
             self._gateway.gauges(now_ms=current_ms)
             | self._rollout_control.gauges()
             | self._customer_quotas.gauges(now_ms=current_ms)
+            | {(name, ()): value for name, value in self._follower.gauges().items()}
             | {
-                ("news_age_ms", ()): current_ms - self._follower.confirmed_ms,
-                ("change_history_bytes", ()): self._follower.history_bytes,
-                ("store_restorations", ()): position.restorations,
-                ("store_revision", ()): position.revision,
                 ("is_reader", ()): float(self._reader_slot.is_held),
-                ("caller_connections", ()): (
-                    self._listener.connection_count if self._listener else 0
-                ),
+                ("caller_connections", ()): self._connection_count,
                 ("is_ready", ()): float(self.is_ready),
                 ("store_calls_total", ()): self._store.call_count,
             }
         )
 
+    @property
+    def _connection_count(self) -> int:
+        return self._listener.connection_count if self._listener else 0
+
     async def _run_maintenance(self) -> None:
         while True:
             await curio.sleep(MAINTENANCE_INTERVAL_S)
--- a/src/kingcupusher/_gateway/rollouts.py
+++ b/src/kingcupusher/_gateway/rollouts.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 import curio
-from msgspec import Struct, field
+from msgspec import Struct
 from msgspec.structs import replace
 
 from kingcupusher._core import now_ms
@@ -25,6 +25,7 @@
     rejected_before,
     repeats_completed,
 )
+from kingcupusher._gateway.rollout_case import RolloutCase
 from kingcupusher._gateway.rollout_traffic import RolloutTraffic
 from kingcupusher._limits.rollout_ledger import RolloutLedger
 from kingcupusher._limits.rollout_phases import Decision, Evidence, decide
@@ -58,20 +59,6 @@
         """
 
 
-class _Case(Struct):
-    """A rollout as its lead knows it; nothing is written before ``retry_ms``.
-
-    ``has_moved`` is, by entry, what its last report says. ``written_from`` is the phase that the
-    last write was to replace.
-    """
-
-    order_revision: int
-    ledger: RolloutLedger
-    has_moved: dict[str, bool] = field(default_factory=dict)
-    written_from: RolloutPhase | None = None
-    retry_ms: float = 0.0
-
-
 class RolloutControl:
     """Reports to the lead, and decides while this entry is its own lead."""
 
@@ -107,7 +94,7 @@
         self._store = store
         self._on_event = on_event
         self._run_id = rng.randrange(MAX_RUN)
-        self._cases: dict[str, _Case] = {}
+        self._cases: dict[str, RolloutCase] = {}
         self._checked_ms = 0.0
         self._wait_until_ms = 0.0
         self._restore_from_ms: dict[str, float] = {}
@@ -202,10 +189,10 @@
             order.service, float(message.order_age_ms), now_ms=now_ms()
         )
 
-    def _case(self, order: RolloutOrder) -> _Case:
+    def _case(self, order: RolloutOrder) -> RolloutCase:
         case = self._cases.get(order.service)
         if case is None or case.order_revision != order.revision:
-            case = self._cases[order.service] = _Case(order.revision, RolloutLedger())
+            case = self._cases[order.service] = RolloutCase(order.revision, RolloutLedger())
         return case
 
     async def _check_order(self, order: RolloutOrder) -> None:
@@ -233,7 +220,7 @@
         if decision is not None:
             await self._write(case, state.phase, replace(state, phase=decision.phase), decision)
 
-    def _evidence(self, order: RolloutOrder, case: _Case, state: RolloutState) -> Evidence:
+    def _evidence(self, order: RolloutOrder, case: RolloutCase, state: RolloutState) -> Evidence:
         current_ms = now_ms()
         rollouts = self._catalog.rollout_states
         rollout = rollouts.in_force(order.service)
@@ -257,7 +244,7 @@
 
     async def _write(
         self,
-        case: _Case,
+        case: RolloutCase,
         before: RolloutPhase | None,
         state: RolloutState,
         decision: Decision,
