Use one registration of a target in the steps

Cause: four step files had a copy of the same registration.

Change: testing/gateway/fixture.py has plain_registration. No step or bound changes.

--- a/testing/features/steps/change_history_steps.py
+++ b/testing/features/steps/change_history_steps.py
@@ -18,40 +18,26 @@
     StoreFollower,
     StorePosition,
     TargetGone,
-    TargetRegistration,
     TargetSeen,
     Update,
     ZoneReturned,
     ZoneTakenOut,
 )
 from kingcupusher._discovery.change_history import ChangeHistory
-from testing.gateway.fixture import many_routes, route_table
+from testing.gateway.fixture import many_routes, plain_registration, route_table
 from testing.properties import check_property
 
 BEGIN = StorePosition(1, 1)
 LONG_TEXT_CHARS = 500
 
 
-def _registration(target_id, *, zone="a", born_unix_ms=5):
-    return TargetRegistration(
-        target_id=target_id,
-        service="s",
-        address=Address("127.0.0.1", 1),
-        zone=zone,
-        slots=3,
-        is_draining=False,
-        cold_left_ms=0.0,
-        born_unix_ms=born_unix_ms,
-    )
-
-
 def _configuration(number):
     return [RoutesPublished(many_routes(800, version=number + 2))]
 
 
 def _registrations(number):
     zone = f"{number} ".ljust(LONG_TEXT_CHARS, "x")
-    return [TargetSeen(_registration(f"t{i}", zone=zone)) for i in range(100)]
+    return [TargetSeen(plain_registration(f"t{i}", zone=zone)) for i in range(100)]
 
 
 CHANGES_BY_KIND = {
@@ -126,7 +112,7 @@
 CHANGES = st.one_of(
     st.builds(
         lambda target_id, born_unix_ms: TargetSeen(
-            _registration(target_id, born_unix_ms=born_unix_ms)
+            plain_registration(target_id, born_unix_ms=born_unix_ms)
         ),
         TARGET_IDS,
         st.integers(1, 3),
--- a/testing/features/steps/discovery_steps.py
+++ b/testing/features/steps/discovery_steps.py
@@ -8,7 +8,6 @@
 from behave import given, then, when
 from hypothesis import strategies as st
 
-from kingcupusher._core.address import Address
 from kingcupusher._discovery import (
     Catalog,
     Route,
@@ -16,14 +15,13 @@
     RouteTable,
     StoreReturned,
     TargetGone,
-    TargetRegistration,
     TargetSeen,
     WeightedService,
     ZoneReturned,
     ZoneTakenOut,
 )
 from kingcupusher._discovery.weighted_round_robin import WeightedRoundRobin
-from testing.gateway.fixture import route_table
+from testing.gateway.fixture import plain_registration, route_table
 from testing.properties import check_property
 
 PREFIXES = st.lists(st.sampled_from("ab"), max_size=4).map(
@@ -31,20 +29,6 @@
 )
 
 
-def registration(*, target_id="t0", zone="a", is_draining=False, born_unix_ms=5):
-    """Return a target registration."""
-    return TargetRegistration(
-        target_id=target_id,
-        service="s",
-        address=Address("127.0.0.1", 1),
-        zone=zone,
-        slots=3,
-        is_draining=is_draining,
-        cold_left_ms=0.0,
-        born_unix_ms=born_unix_ms,
-    )
-
-
 @then("for every order of publications the highest version is in force")
 def versions_never_decrease(context):
     def prop(versions):
@@ -62,7 +46,12 @@
     events = {}
     catalog = Catalog()
     catalog.listeners.append(events.__setitem__)
-    changes = [TargetSeen(registration()), ZoneTakenOut("b"), ZoneReturned("b"), TargetGone("t0")]
+    changes = [
+        TargetSeen(plain_registration()),
+        ZoneTakenOut("b"),
+        ZoneReturned("b"),
+        TargetGone("t0"),
+    ]
     catalog.apply(changes, now_ms=0.0)
     assert events["zone taken out"] == events["zone returned"] == {"ordered_zone": "b"}, events
     assert not {"time", "event", "entry", "zone"} & {name for f in events.values() for name in f}
@@ -115,18 +104,20 @@
 @given("a catalog with one target")
 def given_catalog(context):
     context.catalog = Catalog()
-    context.catalog.apply([RoutesPublished(route_table()), TargetSeen(registration())], now_ms=0.0)
+    context.catalog.apply(
+        [RoutesPublished(route_table()), TargetSeen(plain_registration())], now_ms=0.0
+    )
     context.target = context.catalog.targets["t0"]
 
 
 CHANGES_BY_TEXT = {
-    "the target drains": [TargetSeen(registration(is_draining=True))],
+    "the target drains": [TargetSeen(plain_registration(is_draining=True))],
     "its registration is removed": [TargetGone("t0")],
     "its zone is taken out": [ZoneTakenOut("a")],
     "its zone is taken out and brought back": [ZoneTakenOut("a"), ZoneReturned("a")],
-    "an older process registers under its id": [TargetSeen(registration(born_unix_ms=4))],
-    "a newer process registers under its id": [TargetSeen(registration(born_unix_ms=6))],
-    "the same registration again": [TargetSeen(registration())],
+    "an older process registers under its id": [TargetSeen(plain_registration(born_unix_ms=4))],
+    "a newer process registers under its id": [TargetSeen(plain_registration(born_unix_ms=6))],
+    "the same registration again": [TargetSeen(plain_registration())],
 }
 
 
@@ -170,7 +161,7 @@
 @when("the store returns, reports that the registration is gone, and then a renewed one")
 def when_renewed(context):
     when_lapsed(context)
-    context.catalog.apply([TargetSeen(registration())], now_ms=1_500.0)
+    context.catalog.apply([TargetSeen(plain_registration())], now_ms=1_500.0)
 
 
 @then("the target is still the same one after 10 s")
@@ -180,7 +171,7 @@
 
 
 TARGETS = st.builds(
-    registration,
+    plain_registration,
     target_id=st.sampled_from(["t0", "t1", "t2"]),
     zone=st.sampled_from("ab"),
     is_draining=st.booleans(),
--- a/testing/features/steps/restoration_steps.py
+++ b/testing/features/steps/restoration_steps.py
@@ -6,7 +6,6 @@
 from behave import then, when
 
 from kingcupusher._core import now_ms
-from kingcupusher._core.address import Address
 from kingcupusher._discovery import (
     Catalog,
     ChangeBatch,
@@ -14,24 +13,14 @@
     RoutesPublished,
     StoreFollower,
     StorePosition,
-    TargetRegistration,
     TargetSeen,
     Update,
     ZoneTakenOut,
 )
-from testing.gateway.fixture import route_table
+from testing.gateway.fixture import plain_registration, route_table
 
 CATCH_UP_MS = 3_000.0
-TARGET = TargetRegistration(
-    target_id="t0",
-    service="s",
-    address=Address("127.0.0.1", 1),
-    zone="z0",
-    slots=3,
-    is_draining=False,
-    cold_left_ms=0.0,
-    born_unix_ms=5,
-)
+TARGET = plain_registration(zone="z0")
 
 
 async def _write_zones(cluster, prefix, count):
--- a/testing/features/steps/store_availability_steps.py
+++ b/testing/features/steps/store_availability_steps.py
@@ -10,7 +10,6 @@
 from hypothesis import strategies as st
 
 from kingcupusher._core import now_ms
-from kingcupusher._core.address import Address
 from kingcupusher._core.connection_server import serve_connections
 from kingcupusher._core.startup import listen
 from kingcupusher._discovery import (
@@ -22,7 +21,6 @@
     StorePosition,
     StoreReturned,
     TargetGone,
-    TargetRegistration,
     TargetSeen,
     Update,
     ZoneTakenOut,
@@ -31,7 +29,7 @@
 from kingcupusher_platform.store import StoreClient
 from standins.ports import free_address
 from standins.target.connection import RESET_ON_CLOSE
-from testing.gateway.fixture import route_table
+from testing.gateway.fixture import plain_registration, route_table
 from testing.properties import check_property
 
 HEARTBEAT_MS = 1_500.0
@@ -46,16 +44,7 @@
 TIMEOUT_MS = 200.0
 TOLERANCE_MS = 150.0
 """Remaining times are rounded to steps of 100 ms."""
-TARGET = TargetRegistration(
-    target_id="t0",
-    service="s",
-    address=Address("127.0.0.1", 1),
-    zone="z0",
-    slots=3,
-    is_draining=False,
-    cold_left_ms=0.0,
-    born_unix_ms=5,
-)
+TARGET = plain_registration(zone="z0")
 
 
 # -- what the ends of calls show
--- a/testing/gateway/fixture.py
+++ b/testing/gateway/fixture.py
@@ -80,6 +80,20 @@
     return msgspec.structs.replace(table, routes=tuple(routes))
 
 
+def plain_registration(target_id="t0", *, zone="a", is_draining=False, born_unix_ms=5):
+    """Return the registration of a target that need not exist."""
+    return TargetRegistration(
+        target_id=target_id,
+        service="s",
+        address=Address("127.0.0.1", 1),
+        zone=zone,
+        slots=3,
+        is_draining=is_draining,
+        cold_left_ms=0.0,
+        born_unix_ms=born_unix_ms,
+    )
+
+
 def registration(target, *, zone="a", is_draining=False, born_unix_ms=1, cold_left_ms=0.0):
     """Return the registration of a fake target."""
     return TargetRegistration(
