Let the soak cut watches, limit calls, refuse what has run and change many routes

Change: a second sequence of faults, drawn apart from the first so that the seeds of earlier failures keep theirs: targets that run a request and respond with 503, 429 or 408 without a statement, watches that are cut up to five times, calls that get 429, and up to ten configurations of 300 routes in a row.

--- a/testing/features/soak.feature
+++ b/testing/features/soak.feature
@@ -20,6 +20,7 @@
 
   Scenario Outline: All invariants hold in a run with random faults
     Seed 9101 failed once: an entry ended as it started, probably by a SIGHUP before its handler was set.
+    Seed 303 failed 30 times on a 503, 429 or 408 that a target sent after it had run the request.
 
     When the soak runs seed <seed> for <seconds> s
     Then all invariants hold and at least half of the requests were served
@@ -29,3 +30,4 @@
       | 100  | 5       |
       | 204  | 5       |
       | 9101 | 6       |
+      | 303  | 6       |
--- a/testing/soak/faults.py
+++ b/testing/soak/faults.py
@@ -15,10 +15,15 @@
 
 Fault = Callable[[Fleet, Random, float], Awaitable[None]]
 FAULTS: Registry[Fault] = Registry("fault")
+SERIES_FAULTS: Registry[Fault] = Registry("fault in series")
+"""Drawn apart from the others, whose draws the seeds of earlier failures depend on."""
 EXIT_TIMEOUT_S = 8.0
 """Longer than the grace period of 6 s within which an entry exits after SIGTERM."""
 LINK_FAULTS = ("delay", "reset", "mute_up", "mute_down", "refuse")
 STORE_FAULTS = ("refuse", "slow", "lose")
+REFUSAL_FAULTS = ("fail_503", "fail_429", "fail_408")
+MAX_SERIES = 5
+STORM_ROUTES = 300
 TARGET_FAULTS = ("mute", "cut", "fail", "shed")
 
 
@@ -87,6 +92,10 @@
 @FAULTS.register("target answers wrongly")
 async def _inject_target_fault(fleet: Fleet, rng: Random, duration_s: float) -> None:
     target, fault = rng.choice(fleet.targets), rng.choice(TARGET_FAULTS)
+    await _make_target_fail(target, fault, duration_s)
+
+
+async def _make_target_fail(target: Node, fault: str, duration_s: float) -> None:
     path = f"/fault?kind={fault}&for_ms={duration_s * 1000.0}"
     try:
         await fetch(target.link.upstream, "POST", path, deadline_ms=now_ms() + 500.0)
@@ -163,3 +172,28 @@
     await _wait_for_exit(target)
     await fleet.start_target(target)
     target.exit_expected = False
+
+
+@SERIES_FAULTS.register("target executes requests and refuses them")
+async def _refuse_executed(fleet: Fleet, rng: Random, duration_s: float) -> None:
+    target, fault = rng.choice(fleet.targets), rng.choice(REFUSAL_FAULTS)
+    await _make_target_fail(target, fault, duration_s)
+
+
+@SERIES_FAULTS.register("store cuts the watches")
+async def _cut_watches(fleet: Fleet, rng: Random, duration_s: float) -> None:
+    for _ in range(rng.randint(1, MAX_SERIES)):
+        await fleet.call_store(cut_watches=True)
+        await curio.sleep(rng.uniform(0.0, duration_s / 2.0))
+
+
+@SERIES_FAULTS.register("store limits the rate of calls")
+async def _limit_calls(fleet: Fleet, rng: Random, duration_s: float) -> None:
+    await fleet.call_store(mode="limit", for_ms=rng.uniform(10.0, duration_s * 1000.0))
+
+
+@SERIES_FAULTS.register("many routes changed in quick succession")
+async def _change_many_routes(fleet: Fleet, rng: Random, duration_s: float) -> None:
+    for _ in range(rng.randint(2, 2 * MAX_SERIES)):
+        await fleet.publish_routes(added=STORM_ROUTES)
+        await curio.sleep(rng.uniform(0.0, duration_s / MAX_SERIES))
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -141,8 +141,8 @@
         old_keys = [f"servers/{target.name}r{i}" for i in range(1, target.start_count)]
         await self.call_store(puts={key: value}, remove=old_keys)
 
-    async def publish_routes(self) -> None:
-        """Write the next version of the routes."""
+    async def publish_routes(self, *, added: int = 0) -> None:
+        """Write the next version of the routes, with ``added`` routes that nobody uses."""
         self._version += 3
         timeout_s = 2.0 + 0.1 * (self._version % 5)
         routes = {
@@ -157,6 +157,9 @@
             }
             for is_idempotent in (True, False)
         }
+        unused = routes["r-True"] | {"host": "unused.example"}
+        for index in range(added):
+            routes[f"r-{index}"] = unused | {"prefix": f"/{index}/"}
         service = {"healthPath": "/health", "maxConnections": 200, "coldPerS": 5.0}
         content = {"version": f"r{self._version}", "routes": routes, "services": {"soak": service}}
         await self.call_store(puts={"op/config": content})
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -9,10 +9,10 @@
 import curio
 from msgspec import Struct
 
-from kingcupusher._core import now_ms
+from kingcupusher._core import Registry, now_ms
 from standins.processes import ProcessGroup
 from testing.soak.callers import Caller, RequestRecord
-from testing.soak.faults import FAULTS
+from testing.soak.faults import FAULTS, SERIES_FAULTS, Fault
 from testing.soak.fleet import Fleet
 from testing.soak.invariants import INVARIANTS, Observations, parse_execution_log
 
@@ -37,14 +37,16 @@
     violations: dict[str, list[str]]
 
 
-async def _inject_faults(fleet: Fleet, rng: Random, traffic_s: float, fault_log: list[str]) -> None:
+async def _inject_faults(
+    fleet: Fleet, faults: Registry[Fault], rng: Random, traffic_s: float, fault_log: list[str]
+) -> None:
     """Start faults at random intervals, so that they overlap; return when all have ended."""
     end_ms = now_ms() + traffic_s * 1000.0
     fault_tasks = []
     while now_ms() < end_ms:
-        name, duration_s = rng.choice(sorted(FAULTS)), rng.uniform(0.1, MAX_FAULT_S)
+        name, duration_s = rng.choice(sorted(faults)), rng.uniform(0.1, MAX_FAULT_S)
         fault_log.append(f"{name} {duration_s:.2f} s")
-        fault = FAULTS.get(name)
+        fault = faults.get(name)
         fault_tasks.append(await curio.spawn(fault, fleet, Random(rng.random()), duration_s))
         await curio.sleep(rng.uniform(0.05, MAX_GAP_S))
     async with curio.timeout_after(FAULTS_END_TIMEOUT_S):
@@ -84,7 +86,12 @@
     fault_log: list[str] = []
     callers = [Caller(f"c{i}", fleet.frontends, rng=Random(f"{seed} {i}")) for i in range(CALLERS)]
     tasks = [await curio.spawn(caller.run, daemon=True) for caller in callers]
-    await _inject_faults(fleet, rng, traffic_s, fault_log)
+    series_rng = Random(f"{seed} series")
+    series = await curio.spawn(
+        _inject_faults, fleet, SERIES_FAULTS, series_rng, traffic_s, fault_log
+    )
+    await _inject_faults(fleet, FAULTS, rng, traffic_s, fault_log)
+    await series.join()
     for task in tasks:
         await task.cancel()
     records: list[RequestRecord] = [r for caller in callers for r in caller.records if r.ended_ms]
--- a/testing/soak/store.py
+++ b/testing/soak/store.py
@@ -47,6 +47,7 @@
         self.copies: list[tuple] = []
         self.fault = ""
         self.fault_until_ms = 0.0
+        self.cut_count = 0
 
     def put(self, key: str, value: str, lease: int = 0) -> None:
         """Write an item; ``value`` is encoded in base64."""
@@ -108,6 +109,8 @@
         fault = self.fault if now_ms() < self.fault_until_ms and name != "test" else ""
         if fault == "refuse":
             return _json_response({}, 503)
+        if fault == "limit":
+            return _json_response({}, 429)
         if fault == "slow":
             await curio.sleep(0.4)
         query = dict(parse_qsl(url.query)) | {"path": url.path}
@@ -128,8 +131,11 @@
 @CALL_HANDLERS.register("kv-watch")
 async def _watch(store: Store, query: dict[str, str], _body: dict) -> Response:
     after, end_ms = int(query["after"]), now_ms() + int(query["waitMs"])
+    cut_count = store.cut_count
     while store.revision <= after and now_ms() < end_ms:
         await curio.sleep(POLL_INTERVAL_S)
+        if store.cut_count > cut_count:
+            raise ResponseDroppedError("watch cut by a fault")
     if not store.history_start <= after <= store.revision:
         return _json_response({}, 410)
     events = [event for event in store.events if event["revision"] > after]
@@ -177,6 +183,8 @@
         store.remove(key)
     if body.get("forget"):
         store.history_start, store.events = store.revision, []
+    if body.get("cut_watches"):
+        store.cut_count += 1
     if body.get("restore"):
         store.restore()
     if body.get("lapse"):
--- a/testing/soak/target.py
+++ b/testing/soak/target.py
@@ -22,6 +22,8 @@
 TARGET_ID = b"x-kingcupusher-instance-id"
 SIGNATURE = b"x-kingcupusher-server-signature"
 NOT_EXECUTED = b"x-kingcupusher-not-executed"
+STATUS_BY_FAULT = {"fail": 500, "fail_503": 503, "fail_429": 429, "fail_408": 408}
+"""Status of a response to a request that was executed."""
 SERVER_LOAD = b"x-kingcupusher-server-load"
 
 
@@ -91,7 +93,7 @@
             await curio.sleep(3_600)
         if fault == "cut":
             raise ResponseAbortedError("response aborted by a fault")
-        status = 500 if fault == "fail" else 200
+        status = STATUS_BY_FAULT.get(fault, 200)
         signed_headers = [*target_headers, (REQUEST_ID, request_id), (SIGNATURE, self.target_id)]
         return Response(status, signed_headers, expected_response_body(request_id, request.body))
 
