Round the time that is left after an outage down

Cause: readers subscribe to each other, and a time that is rounded up by each of them grows with every message.

Rows for registrations that lapse 0.4 and 0.7 s after the return of the store join the outages of store_availability.feature.

--- a/src/kingcupusher/_discovery/follower.py
+++ b/src/kingcupusher/_discovery/follower.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from math import ceil
+from math import floor
 
 import curio
 
@@ -217,9 +217,12 @@
 
     @property
     def grace_left_ms(self) -> float:
-        """How long lapsed registrations may still be renewed, rounded up for common updates."""
+        """How long lapsed registrations may still be renewed, in steps for common updates.
+
+        It is rounded down, so that entries that tell each other do not prolong it.
+        """
         left_ms = self._catalog.grace_left_ms(now_ms=now_ms())
-        return ceil(left_ms / GRACE_STEP_MS) * GRACE_STEP_MS
+        return floor(left_ms / GRACE_STEP_MS) * GRACE_STEP_MS
 
     # -- details
 
--- a/testing/features/steps/store_availability_steps.py
+++ b/testing/features/steps/store_availability_steps.py
@@ -262,20 +262,24 @@
 
 
 @when(
-    "a target registers, and the store {outage} for {outage_s:g} s, in which the registration"
-    " lapses for {absence_s:g} s more"
+    "a target registers, and the store {outage} for {outage_s:g} s, and the registration lapses"
+    " {delay_s:g} s after its return, for {absence_s:g} s"
 )
-def when_outage(context, outage, outage_s, absence_s):
+def when_outage(context, outage, outage_s, delay_s, absence_s):
     async def step(cluster):
         cluster.store.write("t0", TargetSeen(TARGET))
         await curio.sleep(1.5)
         watcher = await curio.spawn(_record_absences, cluster, context, daemon=True)
         await OUTAGES[outage](cluster)
         await curio.sleep(outage_s)
-        cluster.store.remove("t0", TargetGone("t0"))
+        if not delay_s:
+            cluster.store.remove("t0", TargetGone("t0"))
         cluster.store.unavailable_for = set()
         cluster.store.unresponsive_for = set()
-        await curio.sleep(absence_s)
+        if delay_s:
+            await curio.sleep(delay_s)
+            cluster.store.remove("t0", TargetGone("t0"))
+        await curio.sleep(absence_s - delay_s)
         cluster.store.write("t0", TargetSeen(TARGET))
         await curio.sleep(3.0)
         await watcher.cancel()
--- a/testing/features/store_availability.feature
+++ b/testing/features/store_availability.feature
@@ -69,15 +69,19 @@
 
   Scenario Outline: A target whose registration lapsed in an outage stays usable until it registers again, <detail>
     Given 6 entries in 3 zones that follow a store
-    When a target registers, and the store <outage> for 4 s, in which the registration lapses for 1.5 s more
+    When a target registers, and the store <outage> for 4 s, and the registration lapses <delay_s> s after its return, for 1.5 s
     Then no running entry was without the target at any time
     And the steps pass when they are run
 
     Examples:
-      | detail                          | outage                                   |
-      | when calls fail                 | is unavailable                           |
-      | when calls hang                 | does not respond                         |
-      | when the watches are cut first  | cuts the watches and then is unavailable |
+      | detail                         | outage                                   | delay_s |
+      | when calls fail                | is unavailable                           | 0       |
+      | when calls fail, a bit late    | is unavailable                           | 0.4     |
+      | when calls hang                | does not respond                         | 0       |
+      | when calls hang, a bit late    | does not respond                         | 0.4     |
+      | when calls hang, somewhat late | does not respond                         | 0.7     |
+      | when the watches are cut first | cuts the watches and then is unavailable | 0       |
+      | when the watches are cut, late | cuts the watches and then is unavailable | 0.4     |
 
   Scenario Outline: What other entries learn of an outage ends with it, <detail>
     Guards against entries that keep a target which left because they were told of an outage late, or of no end.
