Describe the gauge of the history's size

Operators saw "change_history_bytes" as the help text of the gauge of this name.

Cause: the gauge was added without a text, and its name stands in for one.

Test: documentation.feature, "The metrics of an entry agree with the code", which takes milliseconds; before the fix it failed with {'change_history_bytes'}.

--- a/src/kingcupusher/_observe/metrics_registry.py
+++ b/src/kingcupusher/_observe/metrics_registry.py
@@ -39,6 +39,7 @@
     "requests_rejected_total": "Requests rejected before they were complete, by status.",
     "caller_connections": "Open connections of callers.",
     "routes_version": "Version of the routes in force.",
+    "change_history_bytes": "Recent changes that are kept for entries that lag behind.",
     "news_age_ms": "Time since the store's news were last confirmed.",
     "targets": "Targets by service and whether they may get work.",
     "requests_quarantined": "Requests that are refused because equal ones ended targets.",
--- a/testing/features/documentation.feature
+++ b/testing/features/documentation.feature
@@ -35,3 +35,8 @@
       | docs/configuration.md |
       | docs/OPERATIONS.md    |
       | docs/glossary.md      |
+
+  Scenario: The metrics of an entry agree with the code
+    Guards against a gauge without a help text, so that the page of metrics does not say what it is.
+    Given the page "docs/OPERATIONS.md"
+    Then the metrics below "### Metrics" are those that have a help text in the code
--- a/testing/features/steps/documentation_steps.py
+++ b/testing/features/steps/documentation_steps.py
@@ -11,10 +11,12 @@
 
 from kingcupusher._config import ConfigDocument, Service
 from kingcupusher._config.rules import service_problem
+from kingcupusher._observe.metrics_registry import HELP_TEXTS
 from testing.documented_tables import service_field_rows, setting_rows, table_rows
 
 ROOT = Path(__file__).resolve().parents[3]
 TOML_BLOCK = re.compile(r"^```toml\n(.*?)^```$", re.DOTALL | re.MULTILINE)
+METRIC = re.compile(r"`([a-z]+(?:_[a-z]+)+)`")
 LINK = re.compile(r"\]\(([^)#]+)(?:#[^)]*)?\)")
 
 
@@ -58,3 +60,12 @@
     links = [link for link in LINK.findall(context.page_text) if "://" not in link]
     missing = [link for link in links if not (context.path.parent / link).exists()]
     assert not missing, missing
+
+
+@then('the metrics below "{heading}" are those that have a help text in the code')
+def then_metrics_agree(context, heading):
+    section = re.split(r"^### ", context.page_text.partition(heading)[2], flags=re.MULTILINE)[0]
+    # Names of a single word are left out, as they may also be values of a label.
+    named = set(METRIC.findall(section))
+    described = {name for name in HELP_TEXTS if "_" in name}
+    assert named == described, named ^ described
