Tell other entries in a confirmation how long registrations may be renewed

Callers would see: 503, or responses from fewer targets, for a second after an outage, since a target that lives was dropped by some entries; they would then take it for a new process.

Cause: a reader's confirmation ended the outage of its receiver but carried no time for renewals. If the receiver's own watch told it of the lapsed registration before the reader's update did, it dropped the target, and with it those that hear from it first.

Change: Confirmation has grace_left_ms, 0 for entries of an older release. As confirmations go round, an end less than 0.5 s later than the known one is taken for the same.

--- a/src/kingcupusher/_discovery/catalog.py
+++ b/src/kingcupusher/_discovery/catalog.py
@@ -34,6 +34,10 @@
 from kingcupusher._limits.announcements import TargetAnnouncements
 from kingcupusher._limits.crash_quarantine import CrashQuarantine
 
+SAME_RETURN_MS = 500.0
+"""Entries tell each other the time that is left for renewals. An end this much later than the
+known one is the same end, told with the delay of a few links, and must not prolong the time."""
+
 _CHANGE_HANDLERS: Registry[Callable[[Catalog, Change, float], None]] = Registry("change")
 
 
@@ -283,7 +287,9 @@
     @_CHANGE_HANDLERS.register("StoreReturned")
     def _on_store_return(self, change: Change, now_ms: float) -> None:
         assert isinstance(change, StoreReturned)
-        self._grace_end_ms = max(self._grace_end_ms, now_ms + change.grace_left_ms)
+        grace_end_ms = now_ms + change.grace_left_ms
+        if grace_end_ms > self._grace_end_ms + SAME_RETURN_MS:
+            self._grace_end_ms = grace_end_ms
 
 
 def _is_same_process(known: TargetRegistration, record: TargetRegistration) -> bool:
--- a/src/kingcupusher/_discovery/follower.py
+++ b/src/kingcupusher/_discovery/follower.py
@@ -188,12 +188,23 @@
         if self.position is None or update.position > self.position:
             await self._apply_update(update)
 
-    def on_confirmation(self, *, position: StorePosition, confirmed_ms: float, reader: str) -> None:
-        """Record that the store confirmed the state up to ``position`` to ``reader``."""
+    def on_confirmation(
+        self,
+        *,
+        position: StorePosition,
+        confirmed_ms: float,
+        reader: str,
+        grace_left_ms: float = 0.0,
+    ) -> None:
+        """Record that the store confirmed the state up to ``position`` to ``reader``.
+
+        ``grace_left_ms`` is how long lapsed registrations may be renewed as far as it knows.
+        """
         if self.position is None:
             # The sender has no state either; it would have sent it first.
             return
         self._heard_ms = now_ms()
+        self._expect_renewals(grace_left_ms)
         if position <= self.position:
             self._confirm(confirmed_ms, source=reader)
             self._end_outage_known_to(reader)
@@ -249,6 +260,11 @@
         """Expect targets to register again: removed registrations may only have lapsed."""
         self._catalog.apply([StoreReturned()], now_ms=now_ms())
 
+    def _expect_renewals(self, grace_left_ms: float) -> None:
+        """Keep registrations that lapse for as long as the reader does that ended the outage."""
+        if grace_left_ms > 0.0:
+            self._catalog.apply([StoreReturned(grace_left_ms)], now_ms=now_ms())
+
     def _confirm(self, confirmed_ms: float, *, source: str) -> None:
         """Log which source confirmed the state after a time without a confirmation."""
         before_ms = self.confirmed_ms
@@ -259,7 +275,7 @@
             self._on_event("state confirmed", source=source, unconfirmed_ms=unconfirmed_ms)
 
     def _end_outage_known_to(self, reader: str) -> None:
-        """End an outage whose end ``reader`` knows; its changes tell which registrations lapsed."""
+        """End an outage whose end ``reader`` knows; it has told the time for renewals."""
         event = self._availability.on_confirmation(confirmed_ms=self.confirmed_ms)
         if event is StoreEvent.OUTAGE_ENDED:
             self._log_regained(reader)
--- a/src/kingcupusher/_relay/messages.py
+++ b/src/kingcupusher/_relay/messages.py
@@ -41,11 +41,13 @@
 class Confirmation(Struct, array_like=True, frozen=True, tag=3):
     """The state at ``position`` is current; the store confirmed it ``age_ms`` ago.
 
-    The entries that the reader has listed are still its subscribers.
+    The entries that the reader has listed are still its subscribers. Registrations that lapsed in
+    an outage may be renewed for ``grace_left_ms`` from now, 0 if none are expected.
     """
 
     position: StorePosition
     age_ms: int
+    grace_left_ms: float = 0.0
 
 
 class EntriesChanged(Struct, array_like=True, frozen=True, tag=4):
--- a/src/kingcupusher/_relay/server.py
+++ b/src/kingcupusher/_relay/server.py
@@ -152,7 +152,8 @@
         subscriber.confirmed_ms = self._follower.confirmed_ms
         age_ms = max(0, int(now_ms() - self._follower.confirmed_ms))
         position = self._follower.position or NO_POSITION
-        messages.append(encode_message(Confirmation(position, age_ms)))
+        confirmation = Confirmation(position, age_ms, self._follower.grace_left_ms)
+        messages.append(encode_message(confirmation))
         return [message for message in messages if message is not None]
 
     def _encoded_update(self, subscriber: _Subscriber) -> bytes | None:
--- a/src/kingcupusher/_relay/subscriptions.py
+++ b/src/kingcupusher/_relay/subscriptions.py
@@ -162,7 +162,10 @@
         elif isinstance(message, Confirmation):
             confirmed_ms = now_ms() - message.age_ms
             self._follower.on_confirmation(
-                position=message.position, confirmed_ms=confirmed_ms, reader=reader
+                position=message.position,
+                confirmed_ms=confirmed_ms,
+                reader=reader,
+                grace_left_ms=message.grace_left_ms,
             )
             listed.refresh()
         elif isinstance(message, EntriesChanged):
--- a/testing/features/steps/store_availability_steps.py
+++ b/testing/features/steps/store_availability_steps.py
@@ -45,6 +45,9 @@
 TOLERANCE_MS = 150.0
 """Remaining times are rounded to steps of 100 ms."""
 TARGET = plain_registration(zone="z0")
+RING_START_MS = 10_000.0
+MAX_PROBE_DELAY_S = 0.7
+"""A reader probes the store twice a second in an outage."""
 
 
 # -- what the ends of calls show
@@ -288,6 +291,54 @@
     context.steps.append(step)
 
 
+@when(
+    "a target registers, and the store does not respond for {outage_s:g} s, and then responds to"
+    " one reader, {delay_s:g} s later to all"
+)
+def when_readers_return_in_turn(context, outage_s, delay_s):
+    async def step(cluster):
+        cluster.store.write("t0", TargetSeen(TARGET))
+        await curio.sleep(1.5)
+        context.watcher = await curio.spawn(_record_absences, cluster, context, daemon=True)
+        await _hang(cluster)
+        await curio.sleep(outage_s)
+        context.first_reader = cluster.readers()[0]
+        cluster.store.unresponsive_for = set(cluster.running) - {context.first_reader}
+        await curio.sleep(delay_s)
+        cluster.store.unresponsive_for = set()
+        await curio.sleep(MAX_PROBE_DELAY_S)
+
+    context.absent = set()
+    context.steps.append(step)
+
+
+async def _nothing_before_lapse(cluster, context):
+    del cluster, context
+
+
+async def _stop_first_reader(cluster, context):
+    await cluster.stop(context.first_reader)
+
+
+EVENTS_BEFORE_LAPSE = {
+    "nothing happens": _nothing_before_lapse,
+    "the first reader dies": _stop_first_reader,
+}
+
+
+@when("{event} just before the registration lapses for {absence_s:g} s")
+def when_lapse(context, event, absence_s):
+    async def step(cluster):
+        await EVENTS_BEFORE_LAPSE[event](cluster, context)
+        cluster.store.remove("t0", TargetGone("t0"))
+        await curio.sleep(absence_s)
+        cluster.store.write("t0", TargetSeen(TARGET))
+        await curio.sleep(3.0)
+        await context.watcher.cancel()
+
+    context.steps.append(step)
+
+
 async def _take_zone_out(cluster):
     cluster.store.write("zone", ZoneTakenOut("elsewhere"))
 
@@ -377,3 +428,35 @@
     assert bool(catalog.usable_targets("s")) is (left_ms > 0.0), left_ms
     catalog.remove_lapsed_targets(now_ms=context.received_ms + left_ms + TOLERANCE_MS)
     assert not catalog.usable_targets("s"), left_ms
+
+
+# -- the time for renewals
+
+
+@given("a ring of {count:d} readers, the first of which noticed the end of an outage")
+def given_ring(context, count):
+    context.catalogs = [Catalog() for _ in range(count)]
+    context.catalogs[0].apply([StoreReturned()], now_ms=RING_START_MS)
+
+
+@when(
+    "for {duration_s:g} s each tells the next one the time that is left, {delay_ms:g} ms on the way"
+)
+def when_ring_tells(context, duration_s, delay_ms):
+    context.end_ms = [0.0 for _ in context.catalogs]
+    sent_ms = RING_START_MS
+    while sent_ms < RING_START_MS + duration_s * 1_000.0:
+        for i, catalog in enumerate(context.catalogs):
+            left_ms = catalog.grace_left_ms(now_ms=sent_ms)
+            if left_ms > 0.0:
+                context.end_ms[i] = sent_ms + left_ms
+                following = context.catalogs[(i + 1) % len(context.catalogs)]
+                following.apply([StoreReturned(left_ms)], now_ms=sent_ms + delay_ms)
+        sent_ms += delay_ms
+
+
+@then("the time of each has ended at most {limit_ms:g} ms later than that of the first")
+def then_ring_ended(context, limit_ms):
+    # Guards against targets that left and get requests for as long as readers tell of an outage.
+    first_end_ms = RING_START_MS + StoreReturned().grace_left_ms
+    assert max(context.end_ms) <= first_end_ms + limit_ms, context.end_ms
--- a/testing/features/store_availability.feature
+++ b/testing/features/store_availability.feature
@@ -83,6 +83,19 @@
       | when the watches are cut first | cuts the watches and then is unavailable | 0       |
       | when the watches are cut, late | cuts the watches and then is unavailable | 0.4     |
 
+  Scenario Outline: A registration that lapses after an outage is kept by readers that others told of its end, <detail>
+    Guards against a reader that begins no time for renewals when another reader tells it that the store is back.
+    Given 6 entries in 3 zones that follow a store
+    When a target registers, and the store does not respond for 3 s, and then responds to one reader, 0.6 s later to all
+    And <event> just before the registration lapses for 0.6 s
+    Then no running entry was without the target at any time
+    And the steps pass when they are run
+
+    Examples:
+      | detail                          | event                 |
+      | all run                         | nothing happens       |
+      | if the first one dies meanwhile | the first reader dies |
+
   Scenario Outline: What other entries learn of an outage ends with it, <detail>
     Guards against entries that keep a target which left because they were told of an outage late, or of no end.
     Given 6 entries in 3 zones that follow a store
@@ -108,3 +121,14 @@
       | 1500       | 700     |
       | 2200       | 0       |
       | 2400       | 0       |
+
+  Scenario Outline: Readers that tell each other the time for renewals do not prolong it, <delay_ms> ms apart
+    Given a ring of 3 readers, the first of which noticed the end of an outage
+    When for 10 s each tells the next one the time that is left, <delay_ms> ms on the way
+    Then the time of each has ended at most 500 ms later than that of the first
+
+    Examples:
+      | delay_ms |
+      | 5        |
+      | 50       |
+      | 150      |
