Do not tell other entries of an outage that only one reader saw

Callers would see: requests to a target that left, up to 2.2 s after the removal of its registration, if one reader could not reach the store shortly before; work that the target had begun is cut when it exits.

Cause: the next answer to that reader counted as the end of an outage although other readers had confirmed meanwhile that the store responds. It passed this on to its subscribers.

Change: an answer within one heartbeat interval of such a confirmation begins no time for renewals (REACHED_AGAIN). No registration can lapse in so short a time, and a reader that saw the end of an outage states the time that is left in its confirmations.

--- a/src/kingcupusher/_discovery/follower.py
+++ b/src/kingcupusher/_discovery/follower.py
@@ -287,6 +287,7 @@
         if event is StoreEvent.OUTAGE_ENDED:
             # An unresponsive store is detected late: a short failure may end a long outage.
             self._start_reregistration()
+        if event in (StoreEvent.OUTAGE_ENDED, StoreEvent.REACHED_AGAIN):
             self._log_regained(OWN_CALL)
 
     def _record_failure(self, error: ChangeSourceError, elapsed_ms: float) -> None:
--- a/src/kingcupusher/_discovery/store_availability.py
+++ b/src/kingcupusher/_discovery/store_availability.py
@@ -24,6 +24,8 @@
     NOTHING = "nothing"
     OUTAGE_BEGAN = "outage began"
     OUTAGE_ENDED = "outage ended"
+    REACHED_AGAIN = "reached again"
+    """Only calls of this entry had failed; the store responded to others."""
 
 
 _AVAILABLE_NOTHING = (StoreState.AVAILABLE, StoreEvent.NOTHING)
@@ -63,12 +65,13 @@
     than one heartbeat interval ``heartbeat_ms`` makes none lapse.
     """
 
-    __slots__ = ("_doubt_until_ms", "_heartbeat_ms", "_state", "failing_since_ms")
+    __slots__ = ("_doubt_until_ms", "_heartbeat_ms", "_state", "_told_ms", "failing_since_ms")
 
     def __init__(self, *, heartbeat_ms: float = DEFAULT_HEARTBEAT_MS) -> None:
         self._heartbeat_ms = heartbeat_ms
         self._state = StoreState.AVAILABLE
         self._doubt_until_ms = 0.0
+        self._told_ms = float("-inf")
         self.failing_since_ms = 0.0
         """When the first call failed, unless the store is available."""
 
@@ -85,12 +88,19 @@
         if before is StoreState.AVAILABLE and self._state is not StoreState.AVAILABLE:
             self.failing_since_ms = now_ms
             self._doubt_until_ms = confirmed_ms + self._heartbeat_ms
+        if event is StoreEvent.OUTAGE_ENDED and now_ms <= self._told_ms + self._heartbeat_ms:
+            return StoreEvent.REACHED_AGAIN
         return event
 
     def on_confirmation(self, *, confirmed_ms: float) -> StoreEvent:
-        """Record that another entry knows that the store responded at ``confirmed_ms``."""
+        """Record that another entry knows that the store responded at ``confirmed_ms``.
+
+        If that was the end of an outage, the other entry has told for how long lapsed registrations
+        may be renewed.
+        """
         if self._state is StoreState.AVAILABLE or confirmed_ms <= self.failing_since_ms:
             return StoreEvent.NOTHING
+        self._told_ms = confirmed_ms
         is_end = self._state is StoreState.LOST
         self._state = StoreState.AVAILABLE
         return StoreEvent.OUTAGE_ENDED if is_end else StoreEvent.NOTHING
--- a/testing/features/steps/store_availability_steps.py
+++ b/testing/features/steps/store_availability_steps.py
@@ -39,7 +39,11 @@
     "rate-limited": CallEnd.RATE_LIMITED,
     "failed": CallEnd.FAILED,
 }
-EVENT_WORDS = {StoreEvent.OUTAGE_BEGAN: "a begin", StoreEvent.OUTAGE_ENDED: "an end"}
+EVENT_WORDS = {
+    StoreEvent.OUTAGE_BEGAN: "a begin",
+    StoreEvent.OUTAGE_ENDED: "an end",
+    StoreEvent.REACHED_AGAIN: "reached again",
+}
 WATCH_MS = 300.0
 TIMEOUT_MS = 200.0
 TOLERANCE_MS = 150.0
@@ -72,9 +76,13 @@
 @when("calls to the store end as {ends}")
 def when_calls_end(context, ends):
     context.calls = _Calls()
+    _end_calls(context.calls, ends)
+
+
+def _end_calls(calls, ends):
     for row in ends.split(", "):
         at_ms, word = row.split(" ")
-        context.calls.end(float(at_ms), END_BY_WORD[word])
+        calls.end(float(at_ms), END_BY_WORD[word])
 
 
 @when(
@@ -87,6 +95,13 @@
     context.calls.end(answered_ms, CallEnd.ANSWERED)
 
 
+@when("a reader says that the store responded at {confirmed_ms:g} ms, and calls end as {ends}")
+def when_confirmed_before(context, confirmed_ms, ends):
+    event = context.calls.availability.on_confirmation(confirmed_ms=confirmed_ms)
+    context.calls.events.append(event)
+    _end_calls(context.calls, ends)
+
+
 @then("they show {events}")
 def then_events(context, events):
     shown = [EVENT_WORDS[e] for e in context.calls.events if e is not StoreEvent.NOTHING]
@@ -117,6 +132,33 @@
     check_property(context, prop, rows=rows)
 
 
+@then(
+    "for every series of calls and confirmations an answer later than that after the last known one"
+    " ends an outage"
+)
+def then_no_outage_hidden(context):
+    # Guards against registrations that lapsed in an outage and are dropped at once.
+    def prop(rows):
+        calls, at_ms, known_ms, has_failed = _Calls(), 0.0, 0.0, False
+        for wait_ms, end in rows:
+            at_ms += wait_ms
+            if end is None:
+                calls.availability.on_confirmation(confirmed_ms=at_ms)
+                known_ms, has_failed = at_ms, False
+                continue
+            event = calls.end(at_ms, end)
+            if end is not CallEnd.ANSWERED:
+                has_failed = True
+                continue
+            is_outage = has_failed and at_ms > known_ms + HEARTBEAT_MS
+            assert event is StoreEvent.OUTAGE_ENDED or not is_outage, (rows, event)
+            known_ms, has_failed = at_ms, False
+
+    ends = st.one_of(st.none(), st.sampled_from(CallEnd))
+    rows = st.lists(st.tuples(st.integers(1, 2_000), ends), max_size=12)
+    check_property(context, prop, rows=rows)
+
+
 # -- the client of the store
 
 
@@ -215,11 +257,27 @@
     cluster.store.rate_limited_for = set()
 
 
+async def _fail_for_one(cluster):
+    cluster.store.unavailable_for = {cluster.readers()[0]}
+    await curio.sleep(2.0)
+    cluster.store.unavailable_for = set()
+    await curio.sleep(MAX_PROBE_DELAY_S)
+
+
+async def _hang_for_one(cluster):
+    cluster.store.unresponsive_for = {cluster.readers()[0]}
+    await curio.sleep(3.0)
+    cluster.store.unresponsive_for = set()
+    await curio.sleep(MAX_PROBE_DELAY_S)
+
+
 FAULTS = {
     "nothing fails": _nothing,
     "the waiting watches are cut": _cut,
     "the waiting watches are cut twice in 1 s": _cut_twice,
     "calls are rate-limited for 50 ms": _rate_limit,
+    "the calls of one reader fail for 2 s": _fail_for_one,
+    "the calls of one reader hang for 3 s": _hang_for_one,
 }
 
 
--- a/testing/features/store_availability.feature
+++ b/testing/features/store_availability.feature
@@ -35,9 +35,24 @@
       | 900 failed | 1000         | a begin, an end |
       | 900 failed | 800          | a begin, an end |
 
+  Scenario Outline: Calls that fail for one entry alone are no outage, and other entries are told of none
+    When calls to the store end as 900 failed
+    And a reader says that the store responded at <confirmed_ms> ms, and calls end as <ends>
+    Then they show <events>
+
+    Examples:
+      | confirmed_ms | ends                                    | events                                  |
+      | 1000         | 1100 failed, 1200 answered              | a begin, an end, a begin, reached again |
+      | 1000         | 1100 failed, 2500 answered              | a begin, an end, a begin, reached again |
+      | 1000         | 1100 failed, 2501 answered              | a begin, an end, a begin, an end        |
+      | 800          | 1100 failed, 1200 answered              | a begin, an end                         |
+
   Scenario: No outage that is longer than a heartbeat interval is missed
     Then for every series of calls an answer after a longer time without one ends an outage or follows a confirmation
 
+  Scenario: What others confirm hides no outage that is longer than a heartbeat interval
+    Then for every series of calls and confirmations an answer later than that after the last known one ends an outage
+
   Scenario Outline: The client of the store tells how a call ended
     Given a store that <behaviour>
     Then a watch of 300 ms ends as <end>, and a full read as <read_end>
@@ -66,6 +81,8 @@
       | the waiting watches are cut              |
       | the waiting watches are cut twice in 1 s |
       | calls are rate-limited for 50 ms         |
+      | the calls of one reader fail for 2 s     |
+      | the calls of one reader hang for 3 s     |
 
   Scenario Outline: A target whose registration lapsed in an outage stays usable until it registers again, <detail>
     Given 6 entries in 3 zones that follow a store
