Do not keep the end of an outage among the changes for others

Callers would see: requests to a target that left, up to 2.2 s after the removal of its registration, from an entry that lagged behind since before an outage and learns of both together.

Cause: an update from a reader begins with the time that an outage leaves for renewals. Its receiver kept this among its recent changes, with the time of that moment, and sent it to entries that lag behind, however late.

Change: the history does not keep StoreReturned. Updates begin with it as long as the time is not over, as before.

Test: change_history.feature, "An entry that lags behind is not told of an outage whose time for renewals is over", failed before.

--- a/src/kingcupusher/_discovery/change_history.py
+++ b/src/kingcupusher/_discovery/change_history.py
@@ -7,13 +7,16 @@
 import msgspec
 from msgspec import Struct
 
-from kingcupusher._discovery.changes import Change, RoutesPublished
+from kingcupusher._discovery.changes import Change, RoutesPublished, StoreReturned
 from kingcupusher._discovery.position import StorePosition
 
 MAX_HISTORY_BYTES = 2_097_152
 """An entry that lags further behind gets a full snapshot."""
 CHANGE_OVERHEAD_BYTES = 200
 """Memory of the objects around the content of a change, which small changes mostly consist of."""
+NOT_KEPT = (RoutesPublished, StoreReturned)
+"""A route table is kept only while it is the newest. The time that an outage leaves for renewals is
+stated anew in each update, since it goes on while changes are kept."""
 
 
 class _Batch(Struct, eq=False):
@@ -45,7 +48,7 @@
     def append(self, changes: list[Change], position: StorePosition) -> None:
         """Add the newest changes, which are complete up to ``position``."""
         table = self._newer_table(changes)
-        kept = [c for c in changes if c is table or not isinstance(c, RoutesPublished)]
+        kept: list[Change] = [c for c in changes if c is table or not isinstance(c, NOT_KEPT)]
         if not kept:
             return
         batch = _Batch(kept, position, sum(map(_retained_bytes, kept)))
--- a/testing/features/change_history.feature
+++ b/testing/features/change_history.feature
@@ -16,5 +16,10 @@
     Then an entry that has all but the last 150 changes gets one configuration, the newest, and is up to date
     And an entry without any state gets a full snapshot and is up to date
 
+  Scenario: An entry that lags behind is not told of an outage whose time for renewals is over
+    Given an entry that learned from a reader of the end of an outage, and of a removal 100 ms before its time ended
+    When the time for renewals has ended
+    Then an entry that lacks the removal drops the target at once
+
   Scenario: What a lagging entry gets does not depend on what was dropped
     Then for every series of changes, limit and position an entry that lags behind reaches the same state
--- a/testing/features/steps/change_history_steps.py
+++ b/testing/features/steps/change_history_steps.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import gc
+import time
 import tracemalloc
 
 import curio
-from behave import given, then
+from behave import given, then, when
 from hypothesis import strategies as st
 
 from kingcupusher._core.address import Address
@@ -17,6 +18,7 @@
     RoutesPublished,
     StoreFollower,
     StorePosition,
+    StoreReturned,
     TargetGone,
     TargetSeen,
     Update,
@@ -29,6 +31,7 @@
 
 BEGIN = StorePosition(1, 1)
 LONG_TEXT_CHARS = 500
+TARGET = plain_registration("t0")
 
 
 def _configuration(number):
@@ -47,9 +50,12 @@
 }
 
 
-def _follower():
+def _follower(catalog=None):
     return StoreFollower(
-        None, Catalog(), is_reader=lambda: False, on_event=lambda *_args, **_fields: None
+        None,
+        catalog or Catalog(),
+        is_reader=lambda: False,
+        on_event=lambda *_args, **_fields: None,
     )
 
 
@@ -108,6 +114,33 @@
     assert published.table.version == context.count + 1, published.table.version
 
 
+@given(
+    "an entry that learned from a reader of the end of an outage, and of a removal {left_ms:g} ms"
+    " before its time ended"
+)
+def given_end_of_outage(context, left_ms):
+    context.lagging_catalog = Catalog()
+    context.follower, context.lagging = _follower(), _follower(context.lagging_catalog)
+    first = Update([RoutesPublished(route_table()), TargetSeen(TARGET)], BEGIN, is_full=True)
+    for follower in (context.follower, context.lagging):
+        _apply(follower, first)
+    context.left_ms = left_ms
+    changes = [StoreReturned(left_ms), TargetGone(TARGET.target_id)]
+    _apply(context.follower, Update(changes, StorePosition(1, 2), is_full=False))
+
+
+@when("the time for renewals has ended")
+def when_time_ended(context):
+    time.sleep(context.left_ms / 1_000.0)
+
+
+@then("an entry that lacks the removal drops the target at once")
+def then_dropped(context):
+    # Guards against entries that keep a target which left since they hear of an old outage.
+    _apply(context.lagging, context.follower.update_after(BEGIN))
+    assert not context.lagging_catalog.targets
+
+
 TARGET_IDS = st.sampled_from(["t0", "t1", "t2"])
 CHANGES = st.one_of(
     st.builds(
