Read settings without importing the discovery

Callers saw: refused connections for longer while an entry starts again, since it listens after its settings are read.

Cause: since the settings took the default interval of heartbeats from the discovery package, whose import brings curio and asyncio.

Importing the settings took 293 ms (median of 20).

Change: the interval is in a module of its own that imports nothing.

--- a/src/kingcupusher/_discovery/__init__.py
+++ b/src/kingcupusher/_discovery/__init__.py
@@ -52,11 +52,9 @@
     rejected_before,
     repeats_completed,
 )
-from kingcupusher._discovery.store_availability import DEFAULT_HEARTBEAT_MS
 from kingcupusher._discovery.target import Target
 
 __all__ = [
-    "DEFAULT_HEARTBEAT_MS",
     "NO_POSITION",
     "CallerLimits",
     "CallEnd",
--- a/src/kingcupusher/_discovery/follower.py
+++ b/src/kingcupusher/_discovery/follower.py
@@ -13,6 +13,7 @@
 import curio
 
 from kingcupusher._core import now_ms
+from kingcupusher._core.heartbeats import DEFAULT_HEARTBEAT_MS
 from kingcupusher._discovery.catalog import Catalog
 from kingcupusher._discovery.change_history import ChangeHistory
 from kingcupusher._discovery.change_source import (
@@ -27,7 +28,6 @@
 from kingcupusher._discovery.position import NO_POSITION, StorePosition
 from kingcupusher._discovery.response_timeout import ResponseTimeout
 from kingcupusher._discovery.store_availability import (
-    DEFAULT_HEARTBEAT_MS,
     StoreAvailability,
     StoreEvent,
     StoreState,
--- a/src/kingcupusher/_discovery/store_availability.py
+++ b/src/kingcupusher/_discovery/store_availability.py
@@ -4,10 +4,9 @@
 
 from enum import Enum
 
+from kingcupusher._core.heartbeats import DEFAULT_HEARTBEAT_MS
 from kingcupusher._discovery.change_source import CallEnd
 
-DEFAULT_HEARTBEAT_MS = 1_500.0
-
 
 class StoreState(Enum):
     """Whether the store responds to this entry."""
--- a/src/kingcupusher/_gateway/settings.py
+++ b/src/kingcupusher/_gateway/settings.py
@@ -5,7 +5,7 @@
 from msgspec import Struct
 
 from kingcupusher._core.address import Address
-from kingcupusher._discovery import DEFAULT_HEARTBEAT_MS
+from kingcupusher._core.heartbeats import DEFAULT_HEARTBEAT_MS
 from kingcupusher._gateway.fleet_limits import FleetLimits
 from kingcupusher._http.pipeline_limits import DEFAULT_CONNECTION_LIMIT, DEFAULT_MEMORY_BYTES
 
