Wait for the begin of a large response in a test in place of a second

Cause: the scenario on a request that crosses the last response, "while it does not read the response", sent its second request 1 s after an upload of 24 MB. If the response had not begun by then, the second request came in time and the first response was rightly not the last.

Change: the caller waits until the response begins and leaves it unread. All checks are the same, and the second request can no longer come too early, so the check is as strict: it fails if the entry goes on to accept requests after the head of the last response.

--- a/testing/features/steps/connection_stop_steps.py
+++ b/testing/features/steps/connection_stop_steps.py
@@ -51,7 +51,8 @@
 
 async def _cross_unread_response(sock):
     await sock.sendall(echo_request(24_000_000))
-    await curio.sleep(1.0)
+    # The response begins, and is left unread.
+    await sock.recv(1, socket.MSG_PEEK)
     await sock.sendall(request(1))
     await curio.sleep(0.5)
     return await read_responses(sock, 1)
