Wait for the handler of SIGTERM in a test in place of two seconds

Cause: the scenario "A SIGHUP during the imports does not end the process" sent SIGTERM 2 s after SIGHUP.

Evidence: with a wait of 0.1 s in the old step it fails 3 of 3 times with -15.

The checks are the same: with the default action of SIGHUP restored in the entry it fails with -1.

--- a/testing/features/steps/start_steps.py
+++ b/testing/features/steps/start_steps.py
@@ -22,13 +22,13 @@
 from kingcupusher._http.pipeline_limits import PipelineLimits
 from kingcupusher._http.pipeline_listener import PipelineListener
 from standins.ports import free_address
+from testing.process_table import handles_signal
 
 ROOT = Path(__file__).resolve().parents[3]
 LOOPBACK = Address("127.0.0.1", 0)
 BACKLOG = 8
 TIMEOUT_S = 20.0
 POLL_INTERVAL_S = 0.005
-IMPORT_TIME_S = 2.0
 COMMAND = [sys.executable, str(ROOT / "platform" / "run_entry.py")]
 REQUEST = b"GET / HTTP/1.1\r\nhost: h.example\r\n\r\n"
 REQUEST_PATH_LIBRARIES = {"curio", "h11", "websockets", "cbor2", "asyncio"}
@@ -151,10 +151,16 @@
     while socket.socket().connect_ex(context.address) and now_ms() < deadline_ms:
         time.sleep(POLL_INTERVAL_S)
     process.send_signal(signal.SIGHUP)
-    time.sleep(IMPORT_TIME_S)
+    # SIGTERM has its handler once the imports are over.
+    while _is_importing(process) and now_ms() < deadline_ms:
+        time.sleep(POLL_INTERVAL_S)
     context.process = process
 
 
+def _is_importing(process):
+    return process.poll() is None and not handles_signal(process.pid, signal.SIGTERM)
+
+
 @then("it keeps running and exits with status 0 after SIGTERM")
 def then_keeps_running(context):
     # The default action of SIGHUP ends a process that has not installed its handler yet.
--- a/testing/process_table.py
+++ b/testing/process_table.py
@@ -32,6 +32,16 @@
     return (PROC / str(pid) / "cmdline").read_text(encoding="utf-8").split("\0")[:-1]
 
 
+def handles_signal(pid, signal_number):
+    """Return whether the process has a handler for the signal; a process that ended has none."""
+    try:
+        status = (PROC / str(pid) / "status").read_text(encoding="utf-8")
+    except (FileNotFoundError, ProcessLookupError):
+        return False
+    (mask,) = [line.split()[1] for line in status.splitlines() if line.startswith("SigCgt:")]
+    return bool(int(mask, 16) >> (signal_number - 1) & 1)
+
+
 def listens_on(pid, port):
     """Return whether the process has a descriptor of the IPv4 socket listening on ``port``."""
     descriptors = {_link_target(path) for path in (PROC / str(pid) / "fd").iterdir()}
